--- /dev/null
+++ b/src/jacinthsail/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Machinery behind the public surface; nothing here is stable between releases."""
--- /dev/null
+++ b/src/jacinthsail/internal/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data types only: immutable values as ``NamedTuple`` and mutable state as ``TypedDict``."""
--- /dev/null
+++ b/src/jacinthsail/internal/model/calls.py
@@ -0,0 +1,95 @@
+"""Calls and their outcomes."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Reason(StrEnum):
+    """Why a call was routed, refused, repeated or given up."""
+
+    OWN_TARGET = "own-target"
+    RELAY = "relay"
+    RELAY_ACROSS_REGIONS = "relay-across-regions"
+    TARGET_ANSWERED = "target-answered"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_CLASS = "unknown-class"
+    NOT_READY = "not-ready"
+    NO_TARGET = "no-target"
+    BELOW_THRESHOLD = "below-threshold"
+    QUEUE_FULL = "queue-full"
+    EVICTED = "evicted"
+    DEADLINE_EXPIRED = "deadline-expired"
+    DEADLINE_TOO_SHORT = "deadline-too-short"
+    DRAINING = "draining"
+    PEER_UNREACHABLE = "peer-unreachable"
+    PEER_SILENT = "peer-silent"
+    CONNECTION_LOST = "connection-lost"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_REFUSED = "target-refused"
+    INCOMPLETE_ANSWER = "incomplete-answer"
+    RETRIES_SPENT = "retries-spent"
+    KEY_REQUIRED = "key-required"
+    KEY_MALFORMED = "key-malformed"
+    KEY_FROM_FUTURE = "key-from-future"
+    KEY_TOO_OLD = "key-too-old"
+    KEY_RUNNING = "key-running"
+    KEY_REUSED = "key-reused"
+    KEY_HOME_GONE = "key-home-gone"
+    KEY_HOME_ELSEWHERE = "key-home-elsewhere"
+    PLACEMENT_UNCONFIRMED = "placement-unconfirmed"
+    SPILL_OVER_FORBIDDEN = "spill-over-forbidden"
+    LINK_BUDGET_SPENT = "link-budget-spent"
+    CALLER_GONE = "caller-gone"
+
+
+class CallHead(NamedTuple):
+    """What travels with a call through every hop, except its body.
+
+    ``deadline`` is in seconds on the monotonic clock of the node that holds the value; between
+    processes the remaining time travels instead, so that clocks need not agree.
+    """
+
+    request_id: str
+    service: str
+    call_class: str
+    caller: str
+    rank: int
+    depth: int
+    deadline: float
+    retries_left: int
+    idempotency_key: str = ""
+
+
+class Call(NamedTuple):
+    """One call to one service."""
+
+    head: CallHead
+    content_type: str
+    body: bytes
+
+
+class Answered(NamedTuple):
+    """The target ran the call and this is its complete answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+    retries_left: int
+
+
+class NotRun(NamedTuple):
+    """No byte of the call can have reached the target."""
+
+    reason: Reason
+    retries_left: int
+    retry_after_s: float = 0.0
+
+
+class Unknown(NamedTuple):
+    """The call may or may not have run."""
+
+    reason: Reason
+    retries_left: int
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/src/jacinthsail/internal/model/state.py
@@ -0,0 +1,23 @@
+"""The whole state of a node."""
+
+from typing import TypedDict
+
+from jacinthsail.internal.model.admission import AdmissionState
+from jacinthsail.internal.model.clock import ClockState
+from jacinthsail.internal.model.idempotency import LedgerState
+from jacinthsail.internal.model.peers import PeerState
+from jacinthsail.internal.model.replication import StoreState
+from jacinthsail.internal.model.retries import RetryState
+from jacinthsail.internal.model.settings import NodeSettings
+
+
+class NodeState(TypedDict):
+    """Everything a node knows; all of it is lost with the process."""
+
+    settings: NodeSettings
+    clock: ClockState
+    store: StoreState
+    admission: AdmissionState
+    retries: RetryState
+    ledger: LedgerState
+    peers: dict[str, PeerState]
--- /dev/null
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -0,0 +1,114 @@
+"""Decides where a call goes next."""
+
+from functools import singledispatch
+from random import Random
+
+from jacinthsail.internal.model.calls import CallHead, Reason
+from jacinthsail.internal.model.document import ClassPolicy, SpillOver
+from jacinthsail.internal.model.membership import VmEntry, VmStatus
+from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer
+from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.lookup import class_policy, vms_of_service
+
+
+def decide_route(
+    state: NodeState, head: CallHead, tried: frozenset[str], now: float, random: Random
+) -> Route:
+    """Return where the call goes next; ``tried`` holds the VMs that refused it already.
+
+    The own target comes first, then the failure domain, then the region; other regions only where
+    the class's spill-over policy allows them.
+    """
+    store = state["store"]
+    settings = state["settings"]
+    policy = class_policy(store, head.service, head.call_class)
+    if policy is None:
+        return Refused(Reason.UNKNOWN_CLASS)
+    if now >= head.deadline:
+        return Refused(Reason.DEADLINE_EXPIRED)
+    if settings.service == head.service and settings.vm not in tried and not is_draining(state):
+        return ToOwnTarget()
+    candidates = _usable(state, vms_of_service(store, head.service), tried, now)
+    for candidates_at_distance in _by_distance(state, candidates, policy):
+        entry = _least_loaded_of_two(state, candidates_at_distance, random)
+        return ToPeer(entry, crosses_region=entry.region != settings.region)
+    return Refused(Reason.NO_TARGET)
+
+
+def is_draining(state: NodeState) -> bool:
+    """Tell whether this node takes no new work for its own target."""
+    return state["admission"]["draining"]
+
+
+def _usable(
+    state: NodeState, entries: list[VmEntry], tried: frozenset[str], now: float
+) -> list[VmEntry]:
+    usable = []
+    for entry in entries:
+        if entry.vm in tried or entry.vm == state["settings"].vm:
+            continue
+        if entry.status is VmStatus.LEAVING:
+            continue
+        peer = state["peers"].get(entry.vm)
+        if peer is not None and (peer["draining"] or now < peer["suspected_until"]):
+            continue
+        usable.append(entry)
+    return usable
+
+
+def _by_distance(
+    state: NodeState, candidates: list[VmEntry], policy: ClassPolicy
+) -> list[list[VmEntry]]:
+    settings = state["settings"]
+    same_domain = []
+    same_region = []
+    elsewhere = []
+    for entry in candidates:
+        if entry.failure_domain == settings.failure_domain:
+            same_domain.append(entry)
+            continue
+        if entry.region == settings.region:
+            same_region.append(entry)
+            continue
+        elsewhere.append(entry)
+    groups = [same_domain]
+    if policy.spill_over is not SpillOver.NEVER:
+        groups.append(same_region)
+    if policy.spill_over is SpillOver.ANYWHERE:
+        groups.append(elsewhere)
+    return [group for group in groups if group]
+
+
+def _least_loaded_of_two(state: NodeState, entries: list[VmEntry], random: Random) -> VmEntry:
+    """Pick two at random and return the one with fewer calls in flight from here.
+
+    Two choices avoid the herd that always taking the least loaded would cause.
+    """
+    first = random.choice(entries)
+    second = random.choice(entries)
+    if _in_flight(state, second) < _in_flight(state, first):
+        return second
+    return first
+
+
+def _in_flight(state: NodeState, entry: VmEntry) -> int:
+    peer = state["peers"].get(entry.vm)
+    if peer is None:
+        return 0
+    return peer["in_flight"]
+
+
+@singledispatch
+def vm_of(route: object, state: NodeState) -> str:
+    """Return the VM that a route leads to, or an empty text."""
+    return ""
+
+
+@vm_of.register
+def _(route: ToOwnTarget, state: NodeState) -> str:
+    return state["settings"].vm
+
+
+@vm_of.register
+def _(route: ToPeer, state: NodeState) -> str:
+    return route.entry.vm
--- /dev/null
+++ b/src/jacinthsail/internal/queries/schema.py
@@ -0,0 +1,70 @@
+"""Checks a TOML table against a JSON schema and reports each fault as a typed error."""
+
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import (
+    ConfigurationError,
+    MalformedToml,
+    MissingKey,
+    OutOfRange,
+    UnknownChoice,
+    UnknownKey,
+    WrongType,
+)
+
+
+def parse_toml(text: str, source: str) -> Result[dict[str, Any], MalformedToml]:
+    """Return the table of a TOML text."""
+    try:
+        return Success(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        return Failure(MalformedToml(source, str(error)))
+
+
+def schema_errors(
+    validator: Draft202012Validator, table: Mapping[str, Any], source: str
+) -> tuple[ConfigurationError, ...]:
+    """Return every way in which the table departs from the schema, in the order of its keys."""
+    errors: list[ConfigurationError] = []
+    faults = sorted(validator.iter_errors(table), key=lambda fault: list(map(str, fault.path)))
+    for fault in faults:
+        errors.extend(_typed_errors(fault, source))
+    return tuple(errors)
+
+
+def _typed_errors(fault: ValidationError, source: str) -> list[ConfigurationError]:
+    path = [str(part) for part in fault.absolute_path]
+    key = ".".join(path)
+    instance: Any = fault.instance
+    found = repr(instance)
+    rule: Any = fault.validator_value
+    schema: Any = fault.schema
+    match fault.validator:
+        case "required":
+            return [
+                MissingKey(source, ".".join([*path, name])) for name in rule if name not in instance
+            ]
+        case "additionalProperties":
+            known = schema.get("properties", {})
+            return [
+                UnknownKey(source, ".".join([*path, name]))
+                for name in instance
+                if name not in known
+            ]
+        case "enum":
+            choices = tuple(str(choice) for choice in rule)
+            return [UnknownChoice(source, key, str(instance), choices)]
+        case "minimum":
+            return [OutOfRange(source, key, found, f"of {rule} or more")]
+        case "maximum":
+            return [OutOfRange(source, key, found, f"of {rule} or less")]
+        case "type":
+            return [WrongType(source, key, f"a value of type {rule}", found)]
+        case _:
+            return [WrongType(source, key, f"a value that fits: {fault.message}", found)]
