Serve a call end to end through real processes

Cause: everything else is built around the path of a call. Change: Cap'n Proto frames between nodes, HTTP for callers and targets, the node's service tree, and stand-ins for the platform and targets that a small mesh is started from.

--- /dev/null
+++ b/src/jacinthsail/cli.py
@@ -0,0 +1,6 @@
+"""Entry point of ``jacinthsail``, the operators' tool."""
+
+
+def main() -> None:
+    """Run ``jacinthsail``."""
+    raise SystemExit(0)
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/decision_log.py
@@ -0,0 +1,97 @@
+"""JSON log lines, one per routing or placement decision, that never block the loop.
+
+Lines wait in a bounded buffer and are written to a non-blocking descriptor when it takes them. When
+the buffer is full the oldest lines are dropped and their number is logged.
+"""
+
+import asyncio
+import json
+import logging
+import os
+from collections import deque
+
+from jacinthsail.internal.model.decisions import DecisionLine
+
+_LOG = logging.getLogger("jacinthsail.decisions")
+
+# A pipe that nobody reads would otherwise be tried on every turn of the loop.
+RETRY_WRITE_S = 0.05
+
+
+def log_decision(line: DecisionLine) -> None:
+    """Log one routing or placement decision."""
+    if _LOG.isEnabledFor(logging.INFO):
+        _LOG.info(line.decision, extra={"fields": line._asdict()})
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record's fields, or its message, as one line."""
+        fields = getattr(record, "fields", None)
+        line = {"time": record.created, "level": record.levelname, "logger": record.name}
+        if fields is None:
+            line["message"] = record.getMessage()
+        else:
+            line.update(fields)
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+class BufferedLineHandler(logging.Handler):
+    """Keeps a bounded number of lines and writes them when the descriptor is ready."""
+
+    def __init__(self, descriptor: int, capacity: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.capacity = capacity
+        self.lines: deque[bytes] = deque()
+        self.dropped = 0
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.waiting = False
+        self.setFormatter(JsonFormatter())
+
+    def attach(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Write lines from this loop from now on."""
+        os.set_blocking(self.descriptor, False)
+        self.loop = loop
+        self._schedule()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Buffer one record."""
+        if len(self.lines) >= self.capacity:
+            self.lines.popleft()
+            self.dropped += 1
+        self.lines.append(self.format(record).encode() + b"\n")
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self.loop is None or self.waiting or self.loop.is_closed():
+            return
+        self.waiting = True
+        self.loop.call_soon(self.drain)
+
+    def drain(self) -> None:
+        """Write as many lines as the descriptor takes now."""
+        self.waiting = False
+        if self.dropped:
+            notice = {"level": "WARNING", "message": "log lines dropped", "count": self.dropped}
+            self.lines.append(json.dumps(notice).encode() + b"\n")
+            self.dropped = 0
+        chunk = b"".join(self.lines)
+        self.lines.clear()
+        try:
+            written = os.write(self.descriptor, chunk) if chunk else 0
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            return
+        rest = chunk[written:]
+        if not rest:
+            return
+        self.lines.append(rest)
+        if self.loop is not None and not self.loop.is_closed():
+            self.waiting = True
+            self.loop.call_later(RETRY_WRITE_S, self.drain)
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/frontend.py
@@ -0,0 +1,118 @@
+"""The HTTP port for callers and for the own target's outbound calls."""
+
+import asyncio
+from typing import Any
+from uuid import uuid4
+
+import mode
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import MalformedMessage, describe
+from jacinthsail.internal.adapters import headers
+from jacinthsail.internal.adapters.dispatcher import Dispatcher
+from jacinthsail.internal.model.calls import Call, CallHead, Outcome
+from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.lookup import class_policy
+from jacinthsail.internal.queries.rank import rank_of
+
+# Larger bodies would hold one connection between nodes for too long.
+MAX_BODY_BYTES = 1024 * 1024
+
+# Nothing may be called deeper than this; call graphs are up to 6 deep.
+MAX_DEPTH = 16
+
+_CALL_PREFIX = "/v1/services/"
+
+
+class Frontend(mode.Service):
+    """Accepts calls over HTTP."""
+
+    def __init__(self, state: NodeState, dispatcher: Dispatcher, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self.node_state = state
+        self.dispatcher = dispatcher
+        self.calls_in_progress = 0
+        self.server = web.Server(self.handle, access_log=None)
+        self.listener: asyncio.Server | None = None
+
+    async def on_start(self) -> None:
+        """Listen for callers."""
+        callers = self.node_state["settings"].callers
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(self.server, callers.host, callers.port)
+
+    async def on_stop(self) -> None:
+        """Close the port; the calls in progress have been waited for."""
+        if self.listener is not None:
+            self.listener.close()
+        await self.server.shutdown()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one HTTP request."""
+        self.calls_in_progress += 1
+        try:
+            return await self._handle(request)
+        finally:
+            self.calls_in_progress -= 1
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method != "POST" or not request.path.startswith(_CALL_PREFIX):
+            return web.Response(status=404, text="POST /v1/services/<service>/<class>\n")
+        body = await request.read()
+        now = asyncio.get_running_loop().time()
+        match parse_call(request, body, self.node_state, now):
+            case Success(call):
+                return response_of(await self.dispatcher.serve_entry(call))
+            case Failure(error):
+                return web.Response(status=400, text=describe(error) + "\n")
+        raise AssertionError("a result is a success or a failure")
+
+
+def response_of(outcome: Outcome) -> web.Response:
+    """Return the HTTP response for an outcome."""
+    return web.Response(
+        status=headers.reply_status(outcome),
+        headers=headers.reply_headers(outcome),
+        body=headers.reply_body(outcome),
+    )
+
+
+def parse_call(
+    request: web.BaseRequest, body: bytes, state: NodeState, now: float
+) -> Result[Call, MalformedMessage]:
+    """Return the call in an HTTP request."""
+    parts = request.path[len(_CALL_PREFIX) :].split("/")
+    if len(parts) != 2 or not all(parts):
+        return Failure(MalformedMessage("caller", f"path {request.path!r}"))
+    if len(body) > MAX_BODY_BYTES:
+        return Failure(MalformedMessage("caller", f"body of more than {MAX_BODY_BYTES} bytes"))
+    service, call_class = parts
+    policy = class_policy(state["store"], service, call_class)
+    given = request.headers
+    request_id = given.get(headers.REQUEST_ID) or uuid4().hex
+    importance = policy.importance if policy is not None else 0
+    longest_ms = policy.deadline_ms if policy is not None else 0
+    max_retries = policy.max_retries if policy is not None else 0
+    try:
+        depth = int(given.get(headers.DEPTH, 0))
+        rank = int(given.get(headers.RANK, 0)) if depth else rank_of(importance, request_id)
+        deadline_ms = int(given.get(headers.DEADLINE_MS, longest_ms))
+        retries_left = int(given.get(headers.RETRIES_LEFT, max_retries))
+    except ValueError as error:
+        return Failure(MalformedMessage("caller", f"header is not a number: {error}"))
+    if not 0 <= depth <= MAX_DEPTH or rank < 0 or retries_left < 0:
+        return Failure(MalformedMessage("caller", "header is out of range"))
+    head = CallHead(
+        request_id=request_id,
+        service=service,
+        call_class=call_class,
+        caller=given.get(headers.CALLER, ""),
+        rank=rank,
+        depth=depth,
+        deadline=now + min(deadline_ms, longest_ms) / 1000,
+        retries_left=min(retries_left, max_retries),
+        idempotency_key=given.get(headers.IDEMPOTENCY_KEY, ""),
+    )
+    content_type = given.get(headers.CONTENT_TYPE, "application/octet-stream")
+    return Success(Call(head, content_type, body))
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/headers.py
@@ -0,0 +1,111 @@
+"""HTTP headers that carry a call's context between callers, nodes and targets."""
+
+from functools import singledispatch
+
+from jacinthsail.internal.model.calls import Answered, Call, NotRun, Unknown
+
+REQUEST_ID = "Jacinthsail-Request-Id"
+DEADLINE_MS = "Jacinthsail-Deadline-Ms"
+RETRIES_LEFT = "Jacinthsail-Retries-Left"
+RANK = "Jacinthsail-Rank"
+DEPTH = "Jacinthsail-Depth"
+CALLER = "Jacinthsail-Caller"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+OUTCOME = "Jacinthsail-Outcome"
+REASON = "Jacinthsail-Reason"
+CONTENT_TYPE = "Content-Type"
+RETRY_AFTER = "Retry-After"
+
+ANSWERED = "answered"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+STATUS_NOT_RUN = 503
+STATUS_UNKNOWN = 504
+
+
+def request_headers(call: Call, now: float) -> dict[str, str]:
+    """Return the headers of a call on its way to a target.
+
+    A target copies the headers of the call that it serves into the calls that it makes, so the
+    depth is already that of such a call.
+    """
+    head = call.head
+    headers = {
+        REQUEST_ID: head.request_id,
+        DEADLINE_MS: str(max(0, int((head.deadline - now) * 1000))),
+        RETRIES_LEFT: str(head.retries_left),
+        RANK: str(head.rank),
+        DEPTH: str(head.depth + 1),
+        CALLER: head.caller,
+        CONTENT_TYPE: call.content_type,
+    }
+    if head.idempotency_key:
+        headers[IDEMPOTENCY_KEY] = head.idempotency_key
+    return headers
+
+
+@singledispatch
+def reply_headers(outcome: object) -> dict[str, str]:
+    """Return the headers that tell a caller the outcome of its call."""
+    raise NotImplementedError(f"no headers for {type(outcome).__name__}; register them")
+
+
+@reply_headers.register
+def _(outcome: Answered) -> dict[str, str]:
+    return {
+        OUTCOME: ANSWERED,
+        RETRIES_LEFT: str(outcome.retries_left),
+        CONTENT_TYPE: outcome.content_type,
+    }
+
+
+@reply_headers.register
+def _(outcome: NotRun) -> dict[str, str]:
+    return {
+        OUTCOME: NOT_RUN,
+        REASON: outcome.reason.value,
+        RETRIES_LEFT: str(outcome.retries_left),
+        RETRY_AFTER: str(round(outcome.retry_after_s)),
+    }
+
+
+@reply_headers.register
+def _(outcome: Unknown) -> dict[str, str]:
+    return {
+        OUTCOME: UNKNOWN,
+        REASON: outcome.reason.value,
+        RETRIES_LEFT: str(outcome.retries_left),
+    }
+
+
+@singledispatch
+def reply_status(outcome: object) -> int:
+    """Return the HTTP status of an outcome."""
+    raise NotImplementedError(f"no status for {type(outcome).__name__}; register one")
+
+
+@reply_status.register
+def _(outcome: Answered) -> int:
+    return outcome.status
+
+
+@reply_status.register
+def _(outcome: NotRun) -> int:
+    return STATUS_NOT_RUN
+
+
+@reply_status.register
+def _(outcome: Unknown) -> int:
+    return STATUS_UNKNOWN
+
+
+@singledispatch
+def reply_body(outcome: object) -> bytes:
+    """Return the HTTP body of an outcome."""
+    return b""
+
+
+@reply_body.register
+def _(outcome: Answered) -> bytes:
+    return outcome.body
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -0,0 +1,80 @@
+@0xb1c3f0a9d2e47865;
+
+struct ItemVersion {
+  name @0 :Text;
+  version @1 :UInt64;
+  digest @2 :Text;
+}
+
+struct Call {
+  requestId @0 :Text;
+  service @1 :Text;
+  callClass @2 :Text;
+  caller @3 :Text;
+  rank @4 :UInt32;
+  depth @5 :UInt8;
+  remainingS @6 :Float64;
+  retriesLeft @7 :UInt16;
+  idempotencyKey @8 :Text;
+  contentType @9 :Text;
+  body @10 :Data;
+}
+
+struct Outcome {
+  union {
+    answered :group {
+      status @0 :UInt16;
+      contentType @1 :Text;
+      body @2 :Data;
+    }
+    notRun :group {
+      reason @3 :Text;
+      retryAfterS @4 :Float64;
+    }
+    unknown :group {
+      reason @5 :Text;
+    }
+  }
+  retriesLeft @6 :UInt16;
+}
+
+struct Message {
+  union {
+    hello :group {
+      vm @0 :Text;
+      incarnation @1 :Text;
+      failureDomain @2 :Text;
+      service @3 :Text;
+    }
+    heartbeat :group {
+      storeDigest @4 :UInt64;
+      asOfMs @5 :UInt64;
+      threshold @6 :UInt32;
+      draining @7 :Bool;
+    }
+    offer :group {
+      versions @8 :List(ItemVersion);
+      complete @9 :Bool;
+    }
+    ask :group {
+      names @10 :List(Text);
+    }
+    itemCopy :group {
+      version @11 :ItemVersion;
+      compressedBody @12 :Data;
+    }
+    callRequest :group {
+      callId @13 :UInt64;
+      call @14 :Call;
+    }
+    callReply :group {
+      replyTo @15 :UInt64;
+      outcome @16 :Outcome;
+      replierThreshold @17 :UInt32;
+    }
+    cancel :group {
+      cancelledId @18 :UInt64;
+    }
+    goodbye @19 :Void;
+  }
+}
--- /dev/null
+++ b/tests/fast/test_wire.py
@@ -0,0 +1,50 @@
+"""Guards the encoding of messages between nodes."""
+
+import unittest
+
+from jacinthsail.internal.adapters.wire import LENGTH_PREFIX, decode_payload, encode_frame
+from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason, Unknown
+from jacinthsail.internal.model.messages import (
+    Ask,
+    CallReply,
+    CallRequest,
+    Cancel,
+    Goodbye,
+    Heartbeat,
+    Hello,
+    ItemCopy,
+    Offer,
+)
+from jacinthsail.internal.model.replication import Item, ItemVersion
+from tests.common.checking import call_head
+
+MESSAGES = (
+    Hello("vm-1", "incarnation", "manila", "drafts"),
+    Heartbeat(2**64 - 1, 5, 300, True),
+    Offer((ItemVersion("section/a", 7, "d"),), True),
+    Ask(("section/a", "vms/manila")),
+    ItemCopy(Item("section/a", 7, "d", b"body" * 1000)),
+    CallRequest(9, Call(call_head(deadline=0.0), "text/plain", b"x"), 1.5),
+    CallReply(9, Answered(200, "text/plain", b"y", 1), 4),
+    CallReply(9, NotRun(Reason.DRAINING, 2, 0.5), 4),
+    CallReply(9, Unknown(Reason.PEER_SILENT, 0), 4),
+    Cancel(9),
+    Goodbye(),
+)
+
+
+class WireTest(unittest.TestCase):
+    def test_every_message_survives_encoding(self):
+        """A field that is not encoded would be lost between nodes without an error."""
+        for message in MESSAGES:
+            with self.subTest(message=type(message).__name__):
+                payload = encode_frame(message)[LENGTH_PREFIX.size :]
+                self.assertEqual(decode_payload(payload, "peer").unwrap(), message)
+
+    def test_truncated_payload_is_an_error(self):
+        """Half a message must never be taken for a message."""
+        payload = encode_frame(MESSAGES[5])[LENGTH_PREFIX.size :]
+        for length in range(0, len(payload), 8):
+            with self.subTest(length=length):
+                decoded = decode_payload(payload[:length], "peer")
+                self.assertNotEqual(decoded.value_or(None), MESSAGES[5])
--- /dev/null
+++ b/tests/slow/test_path.py
@@ -0,0 +1,41 @@
+"""Guards the path of a call through real processes."""
+
+import unittest
+from pathlib import Path
+
+from jacinthsail.testing.mesh import Mesh, MeshVm
+
+SAMPLES = Path(__file__).resolve().parents[2] / "samples"
+VMS = (
+    MeshVm("drafts-1", "drafts", "manila", "luzon"),
+    MeshVm("billing-1", "billing", "baguio", "luzon"),
+)
+
+
+class PathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        sections = {
+            name: (SAMPLES / f"stenonet-{name}.toml").read_text() for name in ("drafts", "billing")
+        }
+        cls.mesh = Mesh(VMS, sections).__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.mesh.__exit__(None, None, None)
+
+    def test_own_target(self):
+        """A call to the service of the entry node is answered by the target beside it."""
+        reply = self.mesh.call("drafts-1", "drafts", "view", b"page 1")
+        self.assertEqual((reply.status, reply.outcome), (200, "answered"))
+        self.assertIn("drafts-1 ran drafts/view for 'page 1'", reply.body)
+
+    def test_relay_to_a_peer(self):
+        """A call to another service is answered through the node of that target."""
+        reply = self.mesh.call("billing-1", "drafts", "view", b"page 2")
+        self.assertIn("drafts-1 ran drafts/view for 'page 2'", reply.body)
+
+    def test_unknown_class_is_not_run(self):
+        """A call that no section describes must be refused, not guessed at."""
+        reply = self.mesh.call("drafts-1", "drafts", "nothing", b"")
+        self.assertEqual(reply.outcome, "not-run")
