Find silent peer connections and settle their calls

A peer connection that went silent held its calls until their deadlines, and each loss made a call unknown even when no byte of it had been sent.

Heartbeats go out every 2 s. A connection without a byte for 2.5 heartbeats, or for 1.25 heartbeats with an overdue call, is replaced and its calls become unknown (peer-silent). Frames wait outside the transport while the kernel takes no bytes, so a call of which nothing was sent is not-run. Calls go only over connections that the node opened itself, which makes a simultaneous open and the closing of idle connections safe. Calls that must not run twice are no longer cancelled at the target when the peer goes away; queued ones are.

--- a/src/jacinthsail/internal/adapters/gate.py
+++ b/src/jacinthsail/internal/adapters/gate.py
@@ -25,6 +25,7 @@
     has_room,
     next_to_start,
 )
+from jacinthsail.internal.queries.lookup import is_same_call
 
 Waiter = asyncio.Future[NotRun | None]
 
@@ -109,6 +110,12 @@
             if waiter is not None and not waiter.done():
                 waiter.set_result(None)
 
+    def refuse_abandoned(self, head: CallHead) -> None:
+        """Take a waiting call out of the queue whose caller has gone away."""
+        for queued in list(self.admission["queue"]):
+            if is_same_call(queued.head, head):
+                self.refuse_queued(queued, Reason.CALLER_GONE)
+
     def refuse_all(self, reason: Reason) -> None:
         """Tell every waiting call that it was not run."""
         for queued in list(self.admission["queue"]):
--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -46,6 +46,7 @@
             self.node_state, self.session, self.relay_pool, Random(incarnation)
         )
         self.relay_pool.serve_own = self.dispatcher.serve_own
+        self.relay_pool.abandon_own = self.dispatcher.gate.refuse_abandoned
         self.frontend = Frontend(self.node_state, self.dispatcher)
         await self.add_runtime_dependency(self.relay_pool)
         await self.add_runtime_dependency(PlatformClient(self.node_state, self.session))
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -7,15 +7,17 @@
 
 import mode
 
-from jacinthsail.internal.adapters.connection import PeerConnection
+from jacinthsail.internal.adapters.connection import PeerConnection, PendingCall, ServedCall
 from jacinthsail.internal.commands.peers import (
     change_in_flight,
+    introduce_peer,
     record_draining,
     record_failure,
+    record_heard,
     record_heartbeat,
     record_hello,
 )
-from jacinthsail.internal.model.calls import Call, NotRun, Outcome, Reason, Unknown
+from jacinthsail.internal.model.calls import Call, CallHead, NotRun, Outcome, Reason, Unknown
 from jacinthsail.internal.model.membership import VmEntry
 from jacinthsail.internal.model.messages import (
     CallReply,
@@ -26,19 +28,37 @@
     Hello,
     Message,
 )
+from jacinthsail.internal.model.peers import (
+    CloseIdleConnection,
+    KeepConnection,
+    ReplaceConnection,
+    TrafficState,
+)
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.lookup import is_at_most_once, is_same_call
+from jacinthsail.internal.queries.peers import (
+    CHECK_S,
+    HEARTBEAT_S,
+    decide_connection,
+    suspicion_s,
+)
+from jacinthsail.internal.queries.replication import heartbeat_of
 
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
 
-# How long a peer whose call failed is avoided; its heartbeat ends the suspicion earlier.
-SUSPICION_S = 2.0
-
 ServeOwn = Callable[[Call], Awaitable[Outcome]]
+AbandonOwn = Callable[[CallHead], None]
 
 
 class RelayPool(mode.Service):
-    """Holds the connections to and from peers."""
+    """Holds the connections to and from peers.
+
+    A node sends its calls only on connections that it opened itself. When two nodes call each
+    other, two connections exist; so neither a simultaneous open nor the closing of an idle
+    connection can meet a call of the other side on its way.
+    """
 
     def __init__(self, state: NodeState, **kwargs: Any) -> None:
         super().__init__(**kwargs)
@@ -46,8 +66,10 @@
         self.connections: dict[str, PeerConnection] = {}
         self.opening: dict[str, asyncio.Future[PeerConnection | None]] = {}
         self.inbound: set[PeerConnection] = set()
+        self.traffic: TrafficState = {"control_bytes_sent": 0, "control_bytes_received": 0}
         self.server: asyncio.Server | None = None
         self.serve_own: ServeOwn | None = None
+        self.abandon_own: AbandonOwn | None = None
 
     async def on_start(self) -> None:
         """Listen for peers."""
@@ -59,43 +81,122 @@
         """Close every connection after the last reply."""
         if self.server is not None:
             self.server.close()
-        for connection in [*self.connections.values(), *self.inbound]:
+        for opening in list(self.opening.values()):
+            opening.cancel()
+        for connection in self.open_connections():
             connection.close()
 
+    def open_connections(self) -> list[PeerConnection]:
+        """Return the connections in both directions."""
+        return [*self.connections.values(), *self.inbound]
+
+    def is_disabled(self, mechanism: Mechanism) -> bool:
+        """Tell whether a scenario has switched a mechanism off."""
+        return mechanism in self.node_state["settings"].disabled
+
+    def say_goodbye(self) -> None:
+        """Tell every peer that this node takes no new calls for its target."""
+        for connection in self.open_connections():
+            connection.send(Goodbye())
+
     def _accept(self) -> PeerConnection:
-        connection = PeerConnection(self.receive, self._closed)
+        connection = PeerConnection(self.receive, self._closed, self.traffic)
         self.inbound.add(connection)
         return connection
 
+    @mode.Service.task
+    async def check_connections(self) -> None:
+        """Send heartbeats, and close the connections that are silent or unused."""
+        loop = asyncio.get_running_loop()
+        last_check = loop.time()
+        while not self.should_stop:
+            await asyncio.sleep(CHECK_S)
+            now = loop.time()
+            for connection in self.open_connections():
+                self._check(connection, now, last_check)
+            last_check = now
+
+    def _check(self, connection: PeerConnection, now: float, last_check: float) -> None:
+        if not connection.is_open():
+            return
+        detects_silence = not self.is_disabled(Mechanism.SILENCE_DETECTION)
+        decision = decide_connection(connection.view(), now, last_check, detects_silence)
+        apply_connection_decision(decision, self, connection)
+        if now >= connection.next_heartbeat and connection.is_open():
+            connection.next_heartbeat = now + HEARTBEAT_S
+            connection.send(heartbeat_of(self.node_state))
+
     async def call(self, entry: VmEntry, call: Call) -> Outcome:
         """Relay a call to the node of another VM and return its outcome."""
         head = call.head
-        connection = await self.connection_to(entry)
+        connection = await self._connection_within(entry, head.deadline)
         if connection is None or not connection.has_room():
-            self._suspect(entry.vm)
+            self.suspect(entry.vm)
             return NotRun(Reason.PEER_UNREACHABLE, head.retries_left)
         loop = asyncio.get_running_loop()
-        call_id = connection.next_call_id
-        connection.next_call_id += 1
+        now = loop.time()
+        if now >= head.deadline:
+            return NotRun(Reason.DEADLINE_EXPIRED, head.retries_left)
+        call_id = self._new_call_id(connection)
         waiter: asyncio.Future[Outcome] = loop.create_future()
-        connection.waiters[call_id] = waiter
-        peer = self.node_state["peers"].get(entry.vm)
-        if peer is not None:
-            change_in_flight(peer, 1)
-        connection.send(CallRequest(call_id, call, head.deadline - loop.time()))
+        connection.pending[call_id] = PendingCall(head, waiter)
+        connection.last_used = now
+        peer = self.node_state["peers"][entry.vm]
+        change_in_flight(peer, 1)
         try:
+            connection.send(CallRequest(call_id, call, head.deadline - now), call_id)
             async with asyncio.timeout_at(head.deadline):
                 return await waiter
         except TimeoutError:
-            connection.send(Cancel(call_id))
-            return Unknown(Reason.DEADLINE_EXPIRED, 0)
+            return self._give_up(connection, call_id, head, now)
         except asyncio.CancelledError:
-            connection.send(Cancel(call_id))
+            self._withdraw(connection, call_id)
             raise
         finally:
-            connection.waiters.pop(call_id, None)
-            if peer is not None:
-                change_in_flight(peer, -1)
+            connection.pending.pop(call_id, None)
+            change_in_flight(peer, -1)
+
+    def _new_call_id(self, connection: PeerConnection) -> int:
+        if self.is_disabled(Mechanism.WHOLE_ANSWERS):
+            # Without the mechanism ids are reused, so a late reply meets another call.
+            return next(number for number in range(1, 1 << 32) if number not in connection.pending)
+        connection.next_call_id += 1
+        return connection.next_call_id
+
+    def _give_up(
+        self, connection: PeerConnection, call_id: int, head: CallHead, sent_at: float
+    ) -> Outcome:
+        if connection.last_received < sent_at:
+            connection.overdue_since = head.deadline
+            self.suspect(connection.peer_vm)
+        if self._withdraw(connection, call_id):
+            return NotRun(Reason.DEADLINE_EXPIRED, head.retries_left)
+        return Unknown(Reason.DEADLINE_EXPIRED, 0)
+
+    def _withdraw(self, connection: PeerConnection, call_id: int) -> bool:
+        """Cancel a call and tell whether it was taken back before a byte of it was sent."""
+        if connection.is_unsent(call_id):
+            connection.forget_unsent(call_id)
+            return True
+        connection.send(Cancel(call_id))
+        return False
+
+    def abandon(self, head: CallHead) -> None:
+        """Ask the peers not to start a call whose caller has gone; its outcome still arrives."""
+        for connection in self.connections.values():
+            for call_id, pending in connection.pending.items():
+                if is_same_call(pending.head, head):
+                    connection.send(Cancel(call_id))
+
+    async def _connection_within(self, entry: VmEntry, deadline: float) -> PeerConnection | None:
+        connection = self.connections.get(entry.vm)
+        if connection is not None and connection.is_open():
+            return connection
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self.connection_to(entry)
+        except TimeoutError:
+            return None
 
     async def connection_to(self, entry: VmEntry) -> PeerConnection | None:
         """Return an open connection to a peer, or None when it cannot be reached."""
@@ -111,63 +212,132 @@
 
     async def _open(self, entry: VmEntry) -> PeerConnection | None:
         loop = asyncio.get_running_loop()
+        introduce_peer(self.node_state["peers"], entry.vm, loop.time())
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: PeerConnection(self.receive, self._closed),
+                    lambda: PeerConnection(self.receive, self._closed, self.traffic, entry),
                     entry.host,
                     entry.relay_port,
                 )
         except (OSError, TimeoutError):
+            self.suspect(entry.vm)
             return None
-        connection.peer_vm = entry.vm
         self.connections[entry.vm] = connection
-        connection.send(self._hello())
-        self._introduce(entry.vm)
+        self.say_hello(connection)
         return connection
 
-    def _introduce(self, vm: str) -> None:
-        if vm not in self.node_state["peers"]:
-            now = asyncio.get_running_loop().time()
-            record_hello(self.node_state["peers"], Hello(vm, "", "", ""), now)
-
-    def _hello(self) -> Hello:
+    def say_hello(self, connection: PeerConnection) -> None:
+        """Introduce this node on a connection."""
         settings = self.node_state["settings"]
         incarnation = self.node_state["ledger"]["incarnation"]
-        return Hello(settings.vm, incarnation, settings.failure_domain, settings.service)
+        connection.said_hello = True
+        connection.send(Hello(settings.vm, incarnation, settings.failure_domain, settings.service))
 
-    def _suspect(self, vm: str) -> None:
+    def suspect(self, vm: str) -> None:
+        """Avoid a peer for a while; hearing from it ends this early."""
         peer = self.node_state["peers"].get(vm)
-        if peer is not None:
-            record_failure(peer, asyncio.get_running_loop().time() + SUSPICION_S)
+        if peer is None:
+            return
+        now = asyncio.get_running_loop().time()
+        record_failure(peer, now + suspicion_s(peer["failures"] + 1))
 
     def _closed(self, connection: PeerConnection) -> None:
         self.inbound.discard(connection)
         if self.connections.get(connection.peer_vm) is connection:
             del self.connections[connection.peer_vm]
-            self._suspect(connection.peer_vm)
-        for waiter in connection.waiters.values():
-            if not waiter.done():
-                waiter.set_result(Unknown(Reason.CONNECTION_LOST, 0))
-        for task in connection.serving.values():
-            task.cancel()
+            if not connection.is_ending:
+                self.suspect(connection.peer_vm)
+        self.settle_pending(connection, Reason.CONNECTION_LOST)
+        for call_id in list(connection.serving):
+            self.abandon_served(connection, call_id)
+
+    def settle_pending(self, connection: PeerConnection, reason: Reason) -> None:
+        """Give an outcome to every call on a connection that no reply will come from."""
+        for call_id, pending in connection.pending.items():
+            if pending.waiter.done():
+                continue
+            pending.waiter.set_result(self._outcome_of_loss(connection, call_id, pending, reason))
+
+    def _outcome_of_loss(
+        self, connection: PeerConnection, call_id: int, pending: PendingCall, reason: Reason
+    ) -> Outcome:
+        if connection.is_unsent(call_id) or self.is_disabled(Mechanism.NOT_RUN_PROOF):
+            return NotRun(reason, pending.head.retries_left)
+        return Unknown(reason, 0)
+
+    def replace(self, connection: PeerConnection, reason: Reason) -> None:
+        """Close a dead connection, settle its calls and open a new one."""
+        self.settle_pending(connection, reason)
+        connection.abort()
+        self.suspect(connection.peer_vm)
+        if connection.entry is None:
+            return
+        if self.connections.get(connection.peer_vm) is connection:
+            del self.connections[connection.peer_vm]
+        self.add_future(self.connection_to(connection.entry))
+
+    def abandon_served(self, connection: PeerConnection, call_id: int) -> None:
+        """Stop serving a call that the peer no longer waits for.
+
+        A call that must not run twice and has reached the target runs to its end, so that its
+        answer is recorded under its key.
+        """
+        served = connection.serving.get(call_id)
+        if served is None:
+            return
+        if is_at_most_once(self.node_state["store"], served.head) and self.abandon_own is not None:
+            self.abandon_own(served.head)
+            return
+        served.task.cancel()
 
     def receive(self, connection: PeerConnection, message: Message) -> None:
         """Handle one message from a peer."""
+        peer = self.node_state["peers"].get(connection.peer_vm)
+        if peer is not None:
+            record_heard(peer, connection.last_received)
         handle_message(message, self, connection)
 
     async def serve(self, connection: PeerConnection, request: CallRequest) -> None:
         """Run a relayed call at the own target and reply."""
-        assert self.serve_own is not None
-        deadline = asyncio.get_running_loop().time() + request.remaining_s
-        call = request.call._replace(head=request.call.head._replace(deadline=deadline))
         try:
-            outcome = await self.serve_own(call)
+            outcome = await self._run(request.call)
         finally:
             connection.serving.pop(request.call_id, None)
+        connection.last_used = asyncio.get_running_loop().time()
         threshold = self.node_state["admission"]["threshold"]
         connection.send(CallReply(request.call_id, outcome, threshold))
 
+    async def _run(self, call: Call) -> Outcome:
+        if call.head.service != self.node_state["settings"].service:
+            # The sender's list is old and this address now belongs to another service.
+            return NotRun(Reason.NO_TARGET, call.head.retries_left)
+        assert self.serve_own is not None
+        return await self.serve_own(call)
+
+
+@singledispatch
+def apply_connection_decision(
+    decision: object, pool: RelayPool, connection: PeerConnection
+) -> None:
+    """Carry out a decision about a peer connection."""
+    raise NotImplementedError(f"no action for {type(decision).__name__}; register one")
+
+
+@apply_connection_decision.register
+def _(decision: KeepConnection, pool: RelayPool, connection: PeerConnection) -> None:
+    return
+
+
+@apply_connection_decision.register
+def _(decision: ReplaceConnection, pool: RelayPool, connection: PeerConnection) -> None:
+    pool.replace(connection, decision.reason)
+
+
+@apply_connection_decision.register
+def _(decision: CloseIdleConnection, pool: RelayPool, connection: PeerConnection) -> None:
+    connection.close()
+
 
 @singledispatch
 def handle_message(message: object, pool: RelayPool, connection: PeerConnection) -> None:
@@ -177,11 +347,14 @@
 
 @handle_message.register
 def _(message: Hello, pool: RelayPool, connection: PeerConnection) -> None:
-    answers_hello = connection.peer_vm == ""
+    if connection.entry is not None and message.vm != connection.entry.vm:
+        # The address now belongs to another VM than the one that was meant.
+        connection.abort()
+        return
     connection.peer_vm = message.vm
     record_hello(pool.node_state["peers"], message, connection.last_received)
-    if answers_hello:
-        connection.send(pool._hello())
+    if not connection.said_hello:
+        pool.say_hello(connection)
 
 
 @handle_message.register
@@ -193,22 +366,23 @@
 
 @handle_message.register
 def _(message: CallRequest, pool: RelayPool, connection: PeerConnection) -> None:
-    task = asyncio.ensure_future(pool.serve(connection, message))
-    connection.serving[message.call_id] = task
+    deadline = connection.last_received + message.remaining_s
+    head = message.call.head._replace(deadline=deadline)
+    request = message._replace(call=message.call._replace(head=head))
+    task = asyncio.ensure_future(pool.serve(connection, request))
+    connection.serving[message.call_id] = ServedCall(head, task)
 
 
 @handle_message.register
 def _(message: CallReply, pool: RelayPool, connection: PeerConnection) -> None:
-    waiter = connection.waiters.get(message.call_id)
-    if waiter is not None and not waiter.done():
-        waiter.set_result(message.outcome)
+    pending = connection.pending.get(message.call_id)
+    if pending is not None and not pending.waiter.done():
+        pending.waiter.set_result(message.outcome)
 
 
 @handle_message.register
 def _(message: Cancel, pool: RelayPool, connection: PeerConnection) -> None:
-    task = connection.serving.get(message.call_id)
-    if task is not None:
-        task.cancel()
+    pool.abandon_served(connection, message.call_id)
 
 
 @handle_message.register
--- a/src/jacinthsail/internal/commands/peers.py
+++ b/src/jacinthsail/internal/commands/peers.py
@@ -2,26 +2,39 @@
 
 from jacinthsail.internal.model.messages import Heartbeat, Hello
 from jacinthsail.internal.model.peers import PeerState
+from jacinthsail.internal.queries.peers import new_peer
+
+
+def introduce_peer(peers: dict[str, PeerState], vm: str, now: float) -> None:
+    """Start to keep account of a peer that has not introduced itself yet."""
+    if vm not in peers:
+        peers[vm] = new_peer(vm, "", now)
 
 
 def record_hello(peers: dict[str, PeerState], hello: Hello, now: float) -> None:
-    """Remember a peer that has introduced itself; a new incarnation starts from nothing."""
-    peers[hello.vm] = {
-        "vm": hello.vm,
-        "incarnation": hello.incarnation,
-        "last_heard": now,
-        "threshold": 0,
-        "draining": False,
-        "in_flight": 0,
-        "failures": 0,
-        "suspected_until": 0.0,
-        "latency_s": 0.0,
-    }
+    """Remember a peer that has introduced itself; a new incarnation starts from nothing.
+
+    The same incarnation says hello on each connection and keeps its account, because the calls in
+    flight on the other connections are counted there.
+    """
+    peer = peers.get(hello.vm)
+    if peer is None or peer["incarnation"] not in ("", hello.incarnation):
+        peers[hello.vm] = new_peer(hello.vm, hello.incarnation, now)
+        return
+    peer["incarnation"] = hello.incarnation
+    record_heard(peer, now)
+
+
+def record_heard(peer: PeerState, now: float) -> None:
+    """Remember that the peer sent something, which ends any suspicion."""
+    peer["last_heard"] = now
+    peer["failures"] = 0
+    peer["suspected_until"] = 0.0
 
 
 def record_heartbeat(peer: PeerState, heartbeat: Heartbeat, now: float) -> None:
     """Take over what a heartbeat says."""
-    peer["last_heard"] = now
+    record_heard(peer, now)
     peer["threshold"] = heartbeat.threshold
     peer["draining"] = heartbeat.draining
 
--- a/src/jacinthsail/internal/model/peers.py
+++ b/src/jacinthsail/internal/model/peers.py
@@ -1,6 +1,8 @@
 """What a node believes of the nodes it talks to."""
 
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
+
+from jacinthsail.internal.model.calls import Reason
 
 
 class PeerState(TypedDict):
@@ -15,3 +17,42 @@
     failures: int
     suspected_until: float
     latency_s: float
+
+
+class TrafficState(TypedDict):
+    """Bytes of control messages over all peer connections since the start."""
+
+    control_bytes_sent: int
+    control_bytes_received: int
+
+
+class ConnectionView(NamedTuple):
+    """What decides whether a peer connection is kept; times are monotonic seconds.
+
+    ``overdue_since`` is the deadline of the last call that expired without a reply, or None.
+    ``keeps_open`` is set while gossip uses the connection.
+    """
+
+    opened_here: bool
+    last_received: float
+    last_used: float
+    calls: int
+    overdue_since: float | None
+    keeps_open: bool
+
+
+class KeepConnection(NamedTuple):
+    """The connection works."""
+
+
+class ReplaceConnection(NamedTuple):
+    """The connection is dead; its calls get ``reason`` and a new connection is opened."""
+
+    reason: Reason
+
+
+class CloseIdleConnection(NamedTuple):
+    """Nobody uses the connection."""
+
+
+ConnectionDecision = KeepConnection | ReplaceConnection | CloseIdleConnection
--- a/src/jacinthsail/internal/queries/lookup.py
+++ b/src/jacinthsail/internal/queries/lookup.py
@@ -1,6 +1,7 @@
 """Look-ups in the replicated document and VM lists."""
 
-from jacinthsail.internal.model.document import ClassPolicy, ServicePolicy
+from jacinthsail.internal.model.calls import CallHead
+from jacinthsail.internal.model.document import ClassPolicy, Execution, ServicePolicy
 from jacinthsail.internal.model.membership import VmEntry
 from jacinthsail.internal.model.replication import StoreState
 
@@ -39,3 +40,19 @@
             if entry.service == service:
                 found.append(entry)
     return found
+
+
+def is_at_most_once(store: StoreState, head: CallHead) -> bool:
+    """Tell whether a call must not run twice under the section in force."""
+    policy = class_policy(store, head.service, head.call_class)
+    return policy is not None and policy.execution is Execution.AT_MOST_ONCE
+
+
+def is_same_call(first: CallHead, second: CallHead) -> bool:
+    """Tell whether two heads belong to one call; its rank and retries may differ on the way."""
+    return (first.request_id, first.service, first.call_class, first.idempotency_key) == (
+        second.request_id,
+        second.service,
+        second.call_class,
+        second.idempotency_key,
+    )
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -2,6 +2,7 @@
 
 from returns.result import Failure, Success
 
+from jacinthsail.internal.model.messages import Heartbeat
 from jacinthsail.internal.model.replication import (
     Item,
     ItemDecision,
@@ -11,6 +12,7 @@
     StoreState,
     Superseded,
 )
+from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.documents import parse_section
 from jacinthsail.internal.queries.vm_lists import parse_vm_list
 
@@ -39,3 +41,9 @@
         case Failure(errors):
             return Rejected(item, errors)
     raise AssertionError("a result is a success or a failure")
+
+
+def heartbeat_of(state: NodeState) -> Heartbeat:
+    """Return the heartbeat that tells peers the state of this node."""
+    admission = state["admission"]
+    return Heartbeat(0, state["store"]["as_of_ms"], admission["threshold"], admission["draining"])
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -15,6 +15,7 @@
         Reason.NO_TARGET,
         Reason.DEADLINE_EXPIRED,
         Reason.RETRIES_SPENT,
+        Reason.CALLER_GONE,
     }
 )
 
