Keep outcomes truthful at the target and stop gracefully

A caller that went away left its call running, a connect that ended with the deadline was unknown, an answer without a length passed as whole, and an answer of more than 2 MB would have ended a peer connection with its calls.

Callers that disconnect cancel what has not started; calls that must not run twice run to their end once they reached the target. Connect time-outs are not-run, answers without a known end and over 1 MB are unknown. The target's health is asked every second; two draining answers in a row, the VM list or SIGTERM drain the own target. A stop refuses queued calls, says goodbye, lets calls finish and closes kept-open connections after their call. Metrics live in one registry per node.

--- a/src/jacinthsail/daemon.py
+++ b/src/jacinthsail/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import logging
+import signal
 import sys
 from pathlib import Path
 
@@ -57,20 +58,29 @@
     handler = BufferedLineHandler(_STANDARD_ERROR, settings.log_buffer_lines)
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     handler.attach(loop)
-    worker = mode.Worker(
-        NodeService(settings, loop=loop),
-        loop=loop,
-        override_logging=False,
-        redirect_stdouts=False,
-        loglevel="INFO",
-    )
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
-        worker.execute_from_commandline()
+        loop.run_until_complete(_run_until_stopped(NodeService(settings, loop=loop)))
     finally:
         handler.drain()
+        loop.close()
+
+
+async def _run_until_stopped(node: mode.Service) -> None:
+    """Run the service tree until a signal.
+
+    ``mode.Worker`` is not used: it sleeps 1 s in its shutdown and up to another second while it
+    polls for tasks that have ended.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    await node.start()
+    await node.wait(stop.wait())
+    await node.stop()
 
 
 def main() -> None:
--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -71,9 +71,9 @@
             outcome = await execute_route(route, self, call._replace(head=head))
             grant_allowance(retries, head.request_id, outcome.retries_left)
             decision = decide_retry(outcome, retries, head, policy, self.loop.time())
-            log_decision(line_of(decision, head, self.loop.time()))
             if not decision.again:
                 return outcome._replace(retries_left=allowance_of(retries, head.request_id))
+            log_decision(line_of(decision, head, self.loop.time()))
             spend_retry(retries, head.request_id, head.call_class)
             tried = tried | {vm_of(route, self.node_state)}
             await asyncio.sleep(decision.delay_s)
@@ -98,8 +98,9 @@
         started_at = self.loop.time()
         outcome: Outcome | None = None
         try:
+            settings = self.node_state["settings"]
             outcome = await call_target(
-                self.session, self.node_state["settings"].target, call, started_at
+                self.session, settings.target, call, started_at, settings.disabled
             )
             return outcome
         finally:
--- a/src/jacinthsail/internal/adapters/frontend.py
+++ b/src/jacinthsail/internal/adapters/frontend.py
@@ -11,10 +11,12 @@
 from jacinthsail.errors import MalformedMessage, describe
 from jacinthsail.internal.adapters import headers
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
+from jacinthsail.internal.adapters.metrics import NodeMetrics
 from jacinthsail.internal.model.calls import Call, CallHead, Outcome
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.lookup import class_policy
+from jacinthsail.internal.queries.lookup import class_policy, is_at_most_once
 from jacinthsail.internal.queries.rank import rank_of
+from jacinthsail.internal.queries.routing import is_draining
 
 # Larger bodies would hold one connection between nodes for too long.
 MAX_BODY_BYTES = 1024 * 1024
@@ -22,18 +24,25 @@
 # Nothing may be called deeper than this; call graphs are up to 6 deep.
 MAX_DEPTH = 16
 
+# Nothing is in progress when the port stops, unless a planned stop took too long.
+SHUTDOWN_TIMEOUT_S = 0.5
+
 _CALL_PREFIX = "/v1/services/"
 
 
 class Frontend(mode.Service):
     """Accepts calls over HTTP."""
 
-    def __init__(self, state: NodeState, dispatcher: Dispatcher, **kwargs: Any) -> None:
+    def __init__(
+        self, state: NodeState, dispatcher: Dispatcher, metrics: NodeMetrics, **kwargs: Any
+    ) -> None:
         super().__init__(**kwargs)
         self.node_state = state
         self.dispatcher = dispatcher
+        self.metrics = metrics
         self.calls_in_progress = 0
-        self.server = web.Server(self.handle, access_log=None)
+        self.kept_tasks: set[asyncio.Task[Outcome]] = set()
+        self.server = web.Server(self.handle, access_log=None, handler_cancellation=True)
         self.listener: asyncio.Server | None = None
 
     async def on_start(self) -> None:
@@ -44,9 +53,25 @@
 
     async def on_stop(self) -> None:
         """Close the port; the calls in progress have been waited for."""
+        self.accept_no_more()
+        await self.server.shutdown(SHUTDOWN_TIMEOUT_S)
+
+    def accept_no_more(self) -> None:
+        """Close the port and each kept-open connection after the call that is on it."""
+        if self.listener is not None:
+            self.listener.close()
+        self.server.pre_shutdown()
+
+    def interrupt(self) -> None:
+        """Close the port and every connection at once."""
         if self.listener is not None:
             self.listener.close()
-        await self.server.shutdown()
+        for connection in self.server.connections:
+            connection.force_close()
+
+    def has_calls(self) -> bool:
+        """Tell whether a call that entered here has no outcome yet."""
+        return self.calls_in_progress > 0 or bool(self.kept_tasks)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one HTTP request."""
@@ -63,11 +88,32 @@
         now = asyncio.get_running_loop().time()
         match parse_call(request, body, self.node_state, now):
             case Success(call):
-                return response_of(await self.dispatcher.serve_entry(call))
+                outcome = await self._outcome_of(call)
+                self.metrics.count_call(call.head, outcome)
+                response = response_of(outcome)
+                if is_draining(self.node_state):
+                    response.force_close()
+                return response
             case Failure(error):
                 return web.Response(status=400, text=describe(error) + "\n")
         raise AssertionError("a result is a success or a failure")
 
+    async def _outcome_of(self, call: Call) -> Outcome:
+        """Serve a call; when its caller goes away, what has not started is not started."""
+        if not is_at_most_once(self.node_state["store"], call.head):
+            return await self.dispatcher.serve_entry(call)
+        # A call that must not run twice is not interrupted once it has reached the target, so that
+        # its answer is recorded under its key.
+        task = asyncio.ensure_future(self.dispatcher.serve_entry(call))
+        self.kept_tasks.add(task)
+        task.add_done_callback(self.kept_tasks.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self.dispatcher.gate.refuse_abandoned(call.head)
+            self.dispatcher.relay_pool.abandon(call.head)
+            raise
+
 
 def response_of(outcome: Outcome) -> web.Response:
     """Return the HTTP response for an outcome."""
--- a/src/jacinthsail/internal/adapters/headers.py
+++ b/src/jacinthsail/internal/adapters/headers.py
@@ -13,7 +13,9 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 OUTCOME = "Jacinthsail-Outcome"
 REASON = "Jacinthsail-Reason"
+CONTENT_LENGTH = "Content-Length"
 CONTENT_TYPE = "Content-Type"
+TRANSFER_ENCODING = "Transfer-Encoding"
 RETRY_AFTER = "Retry-After"
 
 ANSWERED = "answered"
@@ -109,3 +111,40 @@
 @reply_body.register
 def _(outcome: Answered) -> bytes:
     return outcome.body
+
+
+@singledispatch
+def outcome_name(outcome: object) -> str:
+    """Return the name of an outcome, as callers see it."""
+    raise NotImplementedError(f"no name for {type(outcome).__name__}; register one")
+
+
+@outcome_name.register
+def _(outcome: Answered) -> str:
+    return ANSWERED
+
+
+@outcome_name.register
+def _(outcome: NotRun) -> str:
+    return NOT_RUN
+
+
+@outcome_name.register
+def _(outcome: Unknown) -> str:
+    return UNKNOWN
+
+
+@singledispatch
+def outcome_reason(outcome: object) -> str:
+    """Return the reason of an outcome, or an empty text for an answer."""
+    return ""
+
+
+@outcome_reason.register
+def _(outcome: NotRun) -> str:
+    return outcome.reason.value
+
+
+@outcome_reason.register
+def _(outcome: Unknown) -> str:
+    return outcome.reason.value
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/metrics.py
@@ -0,0 +1,59 @@
+"""The metrics of one node."""
+
+from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+from jacinthsail.internal.adapters.headers import outcome_name, outcome_reason
+from jacinthsail.internal.model.calls import CallHead, Outcome
+from jacinthsail.internal.model.peers import TrafficState
+from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.limits import limit_of
+
+
+class NodeMetrics:
+    """Counters and gauges in a registry of their own, so that two nodes can share a process."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.calls = Counter(
+            "jacinthsail_calls",
+            "Calls that entered here, by service, class, outcome and reason",
+            registry=self.registry,
+        )
+        self.in_flight = self._gauge("in_flight", "Calls in flight to the own target")
+        self.queued = self._gauge("queued", "Calls that wait for the own target")
+        self.limit = self._gauge("limit", "Calls that may be in flight to the own target")
+        self.threshold = self._gauge("threshold", "Lowest rank that is admitted")
+        self.peers = self._gauge("peers", "Peers known to this node")
+        self.control_bytes = self._gauge(
+            "control_bytes", "Bytes of control messages between nodes since the start"
+        )
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(f"jacinthsail_{name}", doc, registry=self.registry)
+
+    def count_call(self, head: CallHead, outcome: Outcome) -> None:
+        """Count one call that entered here."""
+        labels = {
+            "service": head.service,
+            "class": head.call_class,
+            "outcome": outcome_name(outcome),
+            "reason": outcome_reason(outcome),
+        }
+        self.calls.inc(labels)
+
+    def update(self, state: NodeState, traffic: TrafficState) -> None:
+        """Set the gauges from the state of the node."""
+        admission = state["admission"]
+        self.in_flight.set({}, len(admission["in_flight"]))
+        self.queued.set({}, len(admission["queue"]))
+        self.limit.set({}, limit_of(admission["limiter"]))
+        self.threshold.set({}, admission["threshold"])
+        self.peers.set({}, len(state["peers"]))
+        self.control_bytes.set({"direction": "sent"}, traffic["control_bytes_sent"])
+        self.control_bytes.set({"direction": "received"}, traffic["control_bytes_received"])
+
+    def page(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics page and its headers in a format that the client accepts."""
+        content, response_headers = render(self.registry, accepted)
+        return content, response_headers
--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -11,20 +11,30 @@
 
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
 from jacinthsail.internal.adapters.frontend import Frontend
+from jacinthsail.internal.adapters.metrics import NodeMetrics
 from jacinthsail.internal.adapters.operators import OperatorsPort
 from jacinthsail.internal.adapters.platform import PlatformClient
 from jacinthsail.internal.adapters.relay import RelayPool
-from jacinthsail.internal.adapters.target import new_session
-from jacinthsail.internal.commands.admission import begin_draining
-from jacinthsail.internal.model.messages import Goodbye
-from jacinthsail.internal.model.settings import NodeSettings
+from jacinthsail.internal.adapters.target import TargetHealth, new_session
+from jacinthsail.internal.commands.admission import begin_draining, end_draining
+from jacinthsail.internal.commands.leaving import record_stop
+from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.settings import Mechanism, NodeSettings
 from jacinthsail.internal.queries.admission import is_idle
 from jacinthsail.internal.queries.initial import initial_state
+from jacinthsail.internal.queries.leaving import is_leaving
+from jacinthsail.internal.queries.routing import is_draining
 
 # A planned stop waits this long for calls in flight; deadlines end them earlier.
 DRAIN_TIMEOUT_S = 30.0
 DRAIN_POLL_S = 0.02
 
+# While it drains, the node answers with "Connection: close", so that callers leave their kept-open
+# connections before the node closes them.
+FAREWELL_S = 0.5
+
+LEAVING_POLL_S = 0.25
+
 
 class NodeService(mode.Service):
     """One node: its ports, its connections and its copies of what is published."""
@@ -47,24 +57,62 @@
         )
         self.relay_pool.serve_own = self.dispatcher.serve_own
         self.relay_pool.abandon_own = self.dispatcher.gate.refuse_abandoned
-        self.frontend = Frontend(self.node_state, self.dispatcher)
+        metrics = NodeMetrics()
+        self.frontend = Frontend(self.node_state, self.dispatcher, metrics)
+        health = TargetHealth(self.session, self.settings.target, self.node_state["leaving"])
+        operators = OperatorsPort(self.node_state, self.relay_pool.traffic, metrics)
         await self.add_runtime_dependency(self.relay_pool)
         await self.add_runtime_dependency(PlatformClient(self.node_state, self.session))
-        await self.add_runtime_dependency(OperatorsPort(self.node_state))
+        await self.add_runtime_dependency(operators)
+        await self.add_runtime_dependency(health)
         await self.add_runtime_dependency(self.frontend)
 
+    @mode.Service.task
+    async def follow_leaving(self) -> None:
+        """Drain the own target while any evidence says that it leaves."""
+        while not self.should_stop:
+            self._apply_leaving()
+            await asyncio.sleep(LEAVING_POLL_S)
+
+    def _apply_leaving(self) -> None:
+        leaving = is_leaving(self.node_state)
+        if leaving == is_draining(self.node_state):
+            return
+        if not leaving:
+            end_draining(self.node_state["admission"])
+            return
+        begin_draining(self.node_state["admission"])
+        self.dispatcher.gate.refuse_all(Reason.DRAINING)
+        self.relay_pool.say_goodbye()
+
     async def on_stop(self) -> None:
         """Refuse new work, let the calls in flight finish, then let the parts stop."""
-        begin_draining(self.node_state["admission"])
-        for connection in [*self.relay_pool.connections.values(), *self.relay_pool.inbound]:
-            connection.send(Goodbye())
+        if Mechanism.GRACEFUL_STOP in self.settings.disabled:
+            self._interrupt()
+            return
+        record_stop(self.node_state["leaving"])
+        self._apply_leaving()
         loop = asyncio.get_running_loop()
-        latest = loop.time() + DRAIN_TIMEOUT_S
-        while loop.time() < latest:
-            if is_idle(self.node_state["admission"]) and not self.frontend.calls_in_progress:
-                break
+        started = loop.time()
+        latest = started + DRAIN_TIMEOUT_S
+        while loop.time() < latest and not self._has_finished_own_calls():
+            await asyncio.sleep(DRAIN_POLL_S)
+        # The target's outbound calls are over, so that nothing on this VM needs the port any more.
+        await asyncio.sleep(max(0.0, started + FAREWELL_S - loop.time()))
+        self.frontend.accept_no_more()
+        while loop.time() < latest and self.frontend.has_calls():
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _has_finished_own_calls(self) -> bool:
+        if not is_idle(self.node_state["admission"]):
+            return False
+        return not any(connection.serving for connection in self.relay_pool.inbound)
+
+    def _interrupt(self) -> None:
+        self.frontend.interrupt()
+        for connection in self.relay_pool.open_connections():
+            connection.abort()
+
     async def on_shutdown(self) -> None:
         """Close the connections to the target and the platform."""
         if self.session is not None:
--- a/src/jacinthsail/internal/adapters/operators.py
+++ b/src/jacinthsail/internal/adapters/operators.py
@@ -5,24 +5,25 @@
 
 import mode
 from aiohttp import web
-from aioprometheus.collectors import REGISTRY, Gauge
-from aioprometheus.renderer import render
 
+from jacinthsail.internal.adapters.metrics import NodeMetrics
+from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.limits import limit_of
 from jacinthsail.internal.queries.status import node_status
 
-IN_FLIGHT = Gauge("jacinthsail_in_flight", "Calls in flight to the own target")
-QUEUED = Gauge("jacinthsail_queued", "Calls that wait for the own target")
-LIMIT = Gauge("jacinthsail_limit", "Calls that may be in flight to the own target")
+SHUTDOWN_TIMEOUT_S = 0.5
 
 
 class OperatorsPort(mode.Service):
     """Answers ``GET /status`` and ``GET /metrics``."""
 
-    def __init__(self, state: NodeState, **kwargs: Any) -> None:
+    def __init__(
+        self, state: NodeState, traffic: TrafficState, metrics: NodeMetrics, **kwargs: Any
+    ) -> None:
         super().__init__(**kwargs)
         self.node_state = state
+        self.traffic = traffic
+        self.metrics = metrics
         self.server = web.Server(self.handle, access_log=None)
         self.listener: asyncio.Server | None = None
 
@@ -36,7 +37,8 @@
         """Close the port."""
         if self.listener is not None:
             self.listener.close()
-        await self.server.shutdown()
+        self.server.pre_shutdown()
+        await self.server.shutdown(SHUTDOWN_TIMEOUT_S)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one HTTP request."""
@@ -47,9 +49,6 @@
         return web.Response(status=404, text="GET /status or /metrics\n")
 
     def _metrics(self, request: web.BaseRequest) -> web.Response:
-        admission = self.node_state["admission"]
-        IN_FLIGHT.set({}, len(admission["in_flight"]))
-        QUEUED.set({}, len(admission["queue"]))
-        LIMIT.set({}, limit_of(admission["limiter"]))
-        content, response_headers = render(REGISTRY, request.headers.getall("Accept", []))
+        self.metrics.update(self.node_state, self.traffic)
+        content, response_headers = self.metrics.page(request.headers.getall("Accept", []))
         return web.Response(body=content, headers=response_headers)
--- a/src/jacinthsail/internal/adapters/target.py
+++ b/src/jacinthsail/internal/adapters/target.py
@@ -2,21 +2,41 @@
 
 import asyncio
 from functools import singledispatch
+from typing import Any
 
 import aiohttp
+import mode
 from yarl import URL
 
 from jacinthsail.internal.adapters.headers import (
+    CONTENT_LENGTH,
     CONTENT_TYPE,
     NOT_RUN,
     OUTCOME,
     RETRIES_LEFT,
+    TRANSFER_ENCODING,
     request_headers,
 )
+from jacinthsail.internal.commands.leaving import record_health
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Outcome, Reason, Unknown
-from jacinthsail.internal.model.settings import Endpoint
+from jacinthsail.internal.model.leaving import LeavingState
+from jacinthsail.internal.model.settings import Endpoint, Mechanism
 
-_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+# A target on the same VM that does not accept within this time has a full accept queue.
+CONNECT_TIMEOUT_S = 1.0
+
+# The time-out for connecting ends a little before the deadline, so that a call that only waited
+# for a connection is known not to have run.
+CONNECT_SHARE = 0.95
+
+# Frames between nodes are limited to 2 MB; a larger answer would end the connection and with it
+# the other calls on it.
+MAX_ANSWER_BYTES = 1024 * 1024
+
+HEALTH_INTERVAL_S = 1.0
+HEALTH_TIMEOUT_S = 1.0
+
+_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
 def new_session() -> aiohttp.ClientSession:
@@ -28,14 +48,18 @@
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=_NO_TIMEOUT,
+        timeout=_TIMEOUT,
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
     )
 
 
 async def call_target(
-    session: aiohttp.ClientSession, endpoint: Endpoint, call: Call, now: float
+    session: aiohttp.ClientSession,
+    endpoint: Endpoint,
+    call: Call,
+    now: float,
+    disabled: frozenset[Mechanism] = frozenset(),
 ) -> Outcome:
     """Send the call to the target and return what is known of it afterwards."""
     head = call.head
@@ -43,19 +67,56 @@
         f"http://{endpoint.host}:{endpoint.port}/{head.service}/{head.call_class}", encoded=True
     )
     headers = request_headers(call, now)
+    timeout = _timeout_before(head.deadline - now)
+    whole = Mechanism.WHOLE_ANSWERS not in disabled
     try:
         async with asyncio.timeout_at(head.deadline):
-            async with session.post(url, data=call.body, headers=headers) as response:
-                body = await response.read()
+            async with session.post(
+                url, data=call.body, headers=headers, timeout=timeout
+            ) as response:
+                body = await response.read() if whole else await _read_what_comes(response)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        if Mechanism.NOT_RUN_PROOF in disabled:
+            return NotRun(Reason.CONNECTION_LOST, head.retries_left)
         return outcome_of_failure(error, head.retries_left)
     retries_left = _integer(response.headers.get(RETRIES_LEFT), head.retries_left)
     if response.headers.get(OUTCOME) == NOT_RUN:
         return NotRun(Reason.TARGET_REFUSED, retries_left)
+    if whole and not _has_known_end(response):
+        return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
+    if len(body) > MAX_ANSWER_BYTES:
+        return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
     content_type = response.headers.get(CONTENT_TYPE, "application/octet-stream")
     return Answered(response.status, content_type, body, retries_left)
 
 
+def _timeout_before(remaining_s: float) -> aiohttp.ClientTimeout:
+    if remaining_s > CONNECT_TIMEOUT_S:
+        return _TIMEOUT
+    return aiohttp.ClientTimeout(total=None, sock_connect=max(remaining_s, 0.0) * CONNECT_SHARE)
+
+
+def _has_known_end(response: aiohttp.ClientResponse) -> bool:
+    """Tell whether a lost connection would have been noticed as a short answer.
+
+    An answer without a length ends where its connection ends, even when the target died half-way.
+    """
+    if CONTENT_LENGTH in response.headers or TRANSFER_ENCODING in response.headers:
+        return True
+    return response.status in (204, 304)
+
+
+async def _read_what_comes(response: aiohttp.ClientResponse) -> bytes:
+    """Return the part of the answer that arrived; only without the whole-answers mechanism."""
+    body = b""
+    try:
+        async for chunk in response.content.iter_any():
+            body += chunk
+    except aiohttp.ClientPayloadError:
+        return body
+    return body
+
+
 @singledispatch
 def outcome_of_failure(error: Exception, retries_left: int) -> Outcome:
     """Return what is known of a call whose exchange with the target failed."""
@@ -67,6 +128,11 @@
     return NotRun(Reason.TARGET_UNREACHABLE, retries_left)
 
 
+@outcome_of_failure.register
+def _(error: aiohttp.ConnectionTimeoutError, retries_left: int) -> Outcome:
+    return NotRun(Reason.TARGET_UNREACHABLE, retries_left)
+
+
 @outcome_of_failure.register
 def _(error: aiohttp.ClientPayloadError, retries_left: int) -> Outcome:
     return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
@@ -81,3 +147,43 @@
     if text is None or not text.isdigit():
         return default
     return min(int(text), default)
+
+
+class TargetHealth(mode.Service):
+    """Asks the own target every second whether it is draining."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        endpoint: Endpoint,
+        leaving: LeavingState,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.session = session
+        self.url = URL(f"http://{endpoint.host}:{endpoint.port}/health")
+        self.leaving = leaving
+
+    @mode.Service.task
+    async def poll(self) -> None:
+        """Record each answer; no answer says nothing about draining."""
+        while not self.should_stop:
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+            try:
+                says_draining = await self._ask()
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                continue
+            record_health(self.leaving, says_draining)
+
+    async def _ask(self) -> bool:
+        async with asyncio.timeout(HEALTH_TIMEOUT_S):
+            async with self.session.get(self.url) as response:
+                return says_draining_of(await response.json(content_type=None))
+
+
+def says_draining_of(answer: object) -> bool:
+    """Tell whether a health answer says that the target drains."""
+    match answer:
+        case {"state": "draining"}:
+            return True
+    return False
--- a/src/jacinthsail/internal/commands/admission.py
+++ b/src/jacinthsail/internal/commands/admission.py
@@ -37,3 +37,8 @@
 def begin_draining(admission: AdmissionState) -> None:
     """Take no new work for the own target from now on."""
     admission["draining"] = True
+
+
+def end_draining(admission: AdmissionState) -> None:
+    """Take new work for the own target again."""
+    admission["draining"] = False
--- a/src/jacinthsail/internal/model/state.py
+++ b/src/jacinthsail/internal/model/state.py
@@ -5,6 +5,7 @@
 from jacinthsail.internal.model.admission import AdmissionState
 from jacinthsail.internal.model.clock import ClockState
 from jacinthsail.internal.model.idempotency import LedgerState
+from jacinthsail.internal.model.leaving import LeavingState
 from jacinthsail.internal.model.peers import PeerState
 from jacinthsail.internal.model.replication import StoreState
 from jacinthsail.internal.model.retries import RetryState
@@ -21,3 +22,4 @@
     retries: RetryState
     ledger: LedgerState
     peers: dict[str, PeerState]
+    leaving: LeavingState
