Wait for a peer's hello before the first call

The kernel accepts connections for a frozen process, so calls sent right after the connect became unknown although they were never read; an address reused by another VM got calls meant for its predecessor.

--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -77,6 +77,7 @@
         self.next_call_id = 1
         self.peer_vm = entry.vm if entry is not None else ""
         self.said_hello = False
+        self.greeted = asyncio.Event()
         self.last_received = 0.0
         self.last_used = 0.0
         self.next_heartbeat = 0.0
@@ -122,6 +123,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the owner that no more messages come."""
         self.transport = None
+        self.greeted.set()
         self.on_closed(self)
 
     def pause_writing(self) -> None:
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -113,10 +113,11 @@
             await asyncio.sleep(CHECK_S)
             now = loop.time()
             for connection in self.open_connections():
-                self._check(connection, now, last_check)
+                self.check(connection, now, last_check)
             last_check = now
 
-    def _check(self, connection: PeerConnection, now: float, last_check: float) -> None:
+    def check(self, connection: PeerConnection, now: float, last_check: float) -> None:
+        """Act on what is known of one connection, and send its heartbeat when it is due."""
         if not connection.is_open():
             return
         detects_silence = not self.is_disabled(Mechanism.SILENCE_DETECTION)
@@ -223,8 +224,24 @@
         except (OSError, TimeoutError):
             self.suspect(entry.vm)
             return None
-        self.connections[entry.vm] = connection
+        return await self._greet(entry, connection)
+
+    async def _greet(self, entry: VmEntry, connection: PeerConnection) -> PeerConnection | None:
+        """Wait for the hello of the peer before a call is sent.
+
+        The kernel accepts connections for a frozen process, and an address may belong to another
+        VM by now; calls sent without the hello would be unknown instead of not-run.
+        """
         self.say_hello(connection)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await connection.greeted.wait()
+        except TimeoutError:
+            connection.abort()
+        if not connection.is_open():
+            self.suspect(entry.vm)
+            return None
+        self.connections[entry.vm] = connection
         return connection
 
     def say_hello(self, connection: PeerConnection) -> None:
@@ -351,6 +368,7 @@
         # The address now belongs to another VM than the one that was meant.
         connection.abort()
         return
+    connection.greeted.set()
     connection.peer_vm = message.vm
     record_hello(pool.node_state["peers"], message, connection.last_received)
     if not connection.said_hello:
