Drop the oldest log lines one by one and never a part of one

After a partial write the unwritten rest became one buffer entry of any size, so an unread pipe held up to twice the bound and dropping that entry lost half a line and all behind it without counting them.

The rest of a write is kept apart and at most 50 lines are taken per write. The tests with a pipe that nobody reads pass: written lines plus counted ones equal all lines.

--- a/src/jacinthsail/internal/adapters/decision_log.py
+++ b/src/jacinthsail/internal/adapters/decision_log.py
@@ -17,6 +17,9 @@
 # A pipe that nobody reads would otherwise be tried on every turn of the loop.
 RETRY_WRITE_S = 0.05
 
+# Lines that were taken for a write cannot be dropped any more, so a write takes only a few.
+MAX_LINES_PER_WRITE = 50
+
 
 def log_decision(line: DecisionLine) -> None:
     """Log one routing or placement decision."""
@@ -48,6 +51,7 @@
         self.descriptor = descriptor
         self.capacity = capacity
         self.lines: deque[bytes] = deque()
+        self.half_written = b""
         self.dropped = 0
         self.loop: asyncio.AbstractEventLoop | None = None
         self.waiting = False
@@ -76,22 +80,33 @@
     def drain(self) -> None:
         """Write as many lines as the descriptor takes now."""
         self.waiting = False
-        if self.dropped:
-            notice = {"level": "WARNING", "message": "log lines dropped", "count": self.dropped}
-            self.lines.append(json.dumps(notice).encode() + b"\n")
-            self.dropped = 0
-        chunk = b"".join(self.lines)
-        self.lines.clear()
         try:
-            written = os.write(self.descriptor, chunk) if chunk else 0
+            while self.half_written or self.lines or self.dropped:
+                self._write_one()
         except BlockingIOError:
-            written = 0
+            self._try_later()
         except OSError:
-            return
-        rest = chunk[written:]
-        if not rest:
-            return
-        self.lines.append(rest)
+            # Nobody can ever read this descriptor again, so the lines have no use.
+            self.lines.clear()
+
+    def _write_one(self) -> None:
+        if not self.half_written:
+            self.half_written = self._next_chunk()
+        written = os.write(self.descriptor, self.half_written)
+        self.half_written = self.half_written[written:]
+
+    def _next_chunk(self) -> bytes:
+        """Take lines off the buffer; they are counted as written even if the end comes later."""
+        chunk = []
+        if self.dropped:
+            notice = {"level": "WARNING", "message": "log lines dropped", "count": self.dropped}
+            chunk.append(json.dumps(notice).encode() + b"\n")
+            self.dropped = 0
+        while self.lines and len(chunk) < MAX_LINES_PER_WRITE:
+            chunk.append(self.lines.popleft())
+        return b"".join(chunk)
+
+    def _try_later(self) -> None:
         if self.loop is not None and not self.loop.is_closed():
             self.waiting = True
             self.loop.call_later(RETRY_WRITE_S, self.drain)
--- /dev/null
+++ b/tests/fast/test_decision_log.py
@@ -0,0 +1,87 @@
+"""Guards the log against a reader that does not read."""
+
+import asyncio
+import json
+import logging
+import os
+import unittest
+from contextlib import suppress
+
+from jacinthsail.internal.adapters.decision_log import BufferedLineHandler, log_decision
+from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.decisions import DecisionKind
+from jacinthsail.internal.queries.decision_lines import decision_line
+from tests.common.checking import call_head
+
+CAPACITY = 100
+
+
+class DecisionLogTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.handler = BufferedLineHandler(self.writer, CAPACITY)
+        self.handler.attach(asyncio.get_running_loop())
+
+    def log(self, number, padding=""):
+        text = f"line {number} {padding}"
+        record = logging.LogRecord("test", logging.INFO, "", 0, text, None, None)
+        self.handler.emit(record)
+
+    async def fill_pipe(self):
+        number = 0
+        while not self.handler.half_written:
+            self.log(number, "x" * 5000)
+            number += 1
+            await asyncio.sleep(0)
+            self.assertLess(number, 1000)
+        return number
+
+    async def test_unread_descriptor_keeps_memory_bounded(self):
+        """A log that nobody reads must neither block the loop nor grow without end."""
+        number = await self.fill_pipe()
+        for _ in range(10 * CAPACITY):
+            self.log(number)
+            number += 1
+        await asyncio.sleep(0.2)
+        self.assertLessEqual(len(self.handler.lines), CAPACITY)
+        self.assertGreaterEqual(self.handler.dropped, 9 * CAPACITY)
+        written = sum(len(line) for line in self.handler.lines)
+        self.assertLess(written, 2 * CAPACITY * 6000)
+
+    async def test_every_line_read_later_is_whole(self):
+        """Dropping the rest of a half-written line would merge two lines into one."""
+        number = await self.fill_pipe()
+        for _ in range(10 * CAPACITY):
+            self.log(number)
+            number += 1
+        read = b""
+        async with asyncio.timeout(10):
+            while self.handler.half_written or self.handler.lines:
+                read += os.read(self.reader, 1 << 20)
+                await asyncio.sleep(0.06)
+        os.set_blocking(self.reader, False)
+        with suppress(BlockingIOError):
+            read += os.read(self.reader, 1 << 20)
+        lines = [json.loads(line) for line in read.splitlines()]
+        notices = [line for line in lines if "count" in line]
+        self.assertEqual(len(notices), 1)
+        self.assertEqual(len(lines) - 1 + notices[0]["count"], number)
+
+    async def test_one_line_for_one_decision(self):
+        """A decision logged twice or in several lines cannot be counted."""
+        logger = logging.getLogger("jacinthsail.decisions")
+        logger.addHandler(self.handler)
+        self.addCleanup(logger.removeHandler, self.handler)
+        level = logger.level
+        logger.setLevel(logging.INFO)
+        self.addCleanup(logger.setLevel, level)
+        head = call_head()
+        log_decision(decision_line(DecisionKind.ROUTE, head, "vm-2", Reason.RELAY, 5.0))
+        await asyncio.sleep(0)
+        lines = os.read(self.reader, 65536).splitlines()
+        self.assertEqual(len(lines), 1)
+        line = json.loads(lines[0])
+        self.assertEqual(line["request_id"], head.request_id)
+        self.assertEqual((line["chosen"], line["reason"]), ("vm-2", "relay"))
