--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -48,6 +48,10 @@
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
 
+# The last replies must reach the kernel before the loop ends; a peer that reads nothing is left.
+FLUSH_TIMEOUT_S = 1.0
+FLUSH_POLL_S = 0.01
+
 ServeOwn = Callable[[Call], Awaitable[Outcome]]
 AbandonOwn = Callable[[CallHead], None]
 
@@ -85,6 +89,9 @@
             opening.cancel()
         for connection in self.open_connections():
             connection.close()
+        latest = asyncio.get_running_loop().time() + FLUSH_TIMEOUT_S
+        while self.open_connections() and asyncio.get_running_loop().time() < latest:
+            await asyncio.sleep(FLUSH_POLL_S)
 
     def open_connections(self) -> list[PeerConnection]:
         """Return the connections in both directions."""
--- /dev/null
+++ b/tests/slow/test_process.py
@@ -0,0 +1,79 @@
+"""Guards what kind of process the daemon is, and that it ends when it is told to."""
+
+import os
+import signal
+import unittest
+from pathlib import Path
+
+from jacinthsail.testing.mesh import Mesh, MeshVm
+
+SAMPLES = Path(__file__).resolve().parents[2] / "samples"
+VMS = (
+    MeshVm("drafts-1", "drafts", "manila", "luzon"),
+    MeshVm("billing-1", "billing", "baguio", "luzon"),
+)
+
+# An idle node needs about half a second. The limit only has to tell that from the 20 s that it took
+# while its tasks waited for one another, on a machine of any speed.
+STOP_LIMIT_S = 10
+
+
+class ProcessTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        sections = {
+            name: (SAMPLES / f"stenonet-{name}.toml").read_text() for name in ("drafts", "billing")
+        }
+        cls.mesh = Mesh(VMS, sections).__enter__()
+        for number in range(20):
+            cls.mesh.call("billing-1", "drafts", "view", str(number).encode())
+            cls.mesh.call("drafts-1", "drafts", "view", str(number).encode())
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.mesh.__exit__(None, None, None)
+
+    def nodes(self):
+        return [(vm, each["node"]) for vm, each in self.mesh.processes.items()]
+
+    def test_one_thread(self):
+        """A resolver or executor thread would share state that has a single owner."""
+        for vm, node in self.nodes():
+            with self.subTest(vm=vm):
+                self.assertEqual(len(os.listdir(f"/proc/{node.pid}/task")), 1)
+
+    def test_no_child_process(self):
+        """A node must start no other process."""
+        for vm, node in self.nodes():
+            with self.subTest(vm=vm):
+                children = Path(f"/proc/{node.pid}/task/{node.pid}/children").read_text()
+                self.assertEqual(children.split(), [])
+
+    def test_no_io_uring_descriptor(self):
+        """The platform forbids io_uring, which some event loops open on their own."""
+        for vm, node in self.nodes():
+            for descriptor in os.listdir(f"/proc/{node.pid}/fd"):
+                link = os.readlink(f"/proc/{node.pid}/fd/{descriptor}")
+                with self.subTest(vm=vm, link=link):
+                    self.assertNotIn("io_uring", link)
+                    self.assertNotIn("memfd", link)
+                    self.assertFalse(link.startswith("/dev/shm"))
+
+    def test_no_shared_writable_memory(self):
+        """A node must not share memory; read-only maps of system files are no exchange."""
+        for vm, node in self.nodes():
+            for line in Path(f"/proc/{node.pid}/maps").read_text().splitlines():
+                permissions = line.split()[1]
+                with self.subTest(vm=vm, line=line):
+                    self.assertFalse(permissions[1] == "w" and permissions[3] == "s")
+                    self.assertNotIn("io_uring", line)
+
+    def test_stop_of_an_idle_node(self):
+        """A stop that waits for idle tasks delays every replacement of a VM."""
+        node = self.mesh.processes["billing-1"]["node"]
+        self.mesh.processes["billing-1"]["node"].send_signal(signal.SIGTERM)
+        self.assertEqual(node.wait(STOP_LIMIT_S), 0)
+        self.mesh.processes["billing-1"]["target"].terminate()
+        self.mesh.processes["billing-1"]["target"].wait()
+        self.mesh.start_vm("billing-1")
+        self.mesh.wait_until_ready("billing-1")
