Wait for a refusal that a peer sends at the deadline

A call that expired in the peer's queue was refused there at its deadline, but the entry node stopped waiting at the same moment and reported unknown. A call cancelled before its first step was counted as served for ever, which kept a stop waiting for its full 30 s.

--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -48,6 +48,10 @@
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
 
+# A call that expires in the peer's queue is refused there at its deadline. The refusal needs up to
+# 24 ms to come back from another region; without it the call would be unknown instead of not-run.
+REPLY_GRACE_S = 0.05
+
 # The last replies must reach the kernel before the loop ends; a peer that reads nothing is left.
 FLUSH_TIMEOUT_S = 1.0
 FLUSH_POLL_S = 0.01
@@ -153,7 +157,7 @@
         change_in_flight(peer, 1)
         try:
             connection.send(CallRequest(call_id, call, head.deadline - now), call_id)
-            async with asyncio.timeout_at(head.deadline):
+            async with asyncio.timeout_at(head.deadline + REPLY_GRACE_S):
                 return await waiter
         except TimeoutError:
             return self._give_up(connection, call_id, head, now)
@@ -324,10 +328,7 @@
 
     async def serve(self, connection: PeerConnection, request: CallRequest) -> None:
         """Run a relayed call at the own target and reply."""
-        try:
-            outcome = await self._run(request.call)
-        finally:
-            connection.serving.pop(request.call_id, None)
+        outcome = await self._run(request.call)
         connection.last_used = asyncio.get_running_loop().time()
         threshold = self.node_state["admission"]["threshold"]
         connection.send(CallReply(request.call_id, outcome, threshold))
@@ -396,6 +397,8 @@
     request = message._replace(call=message.call._replace(head=head))
     task = asyncio.ensure_future(pool.serve(connection, request))
     connection.serving[message.call_id] = ServedCall(head, task)
+    # A task that is cancelled before its first step runs none of its own clean-up.
+    task.add_done_callback(lambda _: connection.serving.pop(message.call_id, None))
 
 
 @handle_message.register
--- a/tests/fast/test_relay.py
+++ b/tests/fast/test_relay.py
@@ -3,9 +3,13 @@
 import asyncio
 import unittest
 from contextlib import suppress
+from unittest.mock import patch
 
+from jacinthsail.internal.adapters import relay
 from jacinthsail.internal.adapters.connection import ServedCall
+from jacinthsail.internal.adapters.relay import handle_message
 from jacinthsail.internal.model.calls import Answered, NotRun, Reason, Unknown
+from jacinthsail.internal.model.messages import CallRequest, Cancel
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.peers import CHECK_S, SILENCE_S
 from tests.common.checking import call_head
@@ -174,6 +178,28 @@
         outcome = await self.pools["billing-1"].call(self.entry("drafts-1"), call)
         self.assertEqual(type(outcome), NotRun)
 
+    async def test_cancel_right_behind_its_call(self):
+        """A call cancelled before its first step must not count as served for ever."""
+        pool = self.pools["billing-1"]
+        connection = await self.connected(pool)
+        call = call_due_in(9, service="billing")
+        handle_message(CallRequest(7, call, 9.0), pool, connection)
+        handle_message(Cancel(7), pool, connection)
+        await until(lambda: not connection.serving)
+
+    async def test_refusal_at_the_deadline_is_not_run(self):
+        """A call that expired in the peer's queue is known not to have run."""
+
+        async def refuse(call):
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(call.head.deadline - loop.time())
+            return NotRun(Reason.DEADLINE_EXPIRED, 2)
+
+        self.pools["drafts-1"].serve_own = refuse
+        with patch.object(relay, "REPLY_GRACE_S", 5.0):
+            outcome = await self.pools["billing-1"].call(self.entry("drafts-1"), call_due_in(0.2))
+        self.assertEqual(outcome, NotRun(Reason.DEADLINE_EXPIRED, 2))
+
     async def test_late_reply_meets_no_other_call(self):
         """A reply to an abandoned call must not be taken for the reply to the next one."""
         release = asyncio.Event()
