Make the log record of a decision without walking the stack

The logger looked up the calling line, thread and process of every decision, none of which a line shows.

--- a/src/jacinthsail/daemon.py
+++ b/src/jacinthsail/daemon.py
@@ -56,6 +56,10 @@
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     handler = BufferedLineHandler(_STANDARD_ERROR, settings.log_buffer_lines)
+    # Every record would look these up, and no line shows them.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     handler.attach(loop)
     gc.collect()
--- a/src/jacinthsail/internal/adapters/decision_log.py
+++ b/src/jacinthsail/internal/adapters/decision_log.py
@@ -26,9 +26,16 @@
 
 
 def log_decision(line: DecisionLine) -> None:
-    """Log one routing or placement decision."""
-    if _LOG.isEnabledFor(logging.INFO):
-        _LOG.info(line.decision, extra={"fields": line._asdict()})
+    """Log one routing or placement decision.
+
+    The record is made here because the logger would walk the stack to find the calling line, which
+    is the same for every decision.
+    """
+    if not _LOG.isEnabledFor(logging.INFO):
+        return
+    record = logging.LogRecord(_LOG.name, logging.INFO, __file__, 0, line.decision, None, None)
+    record.decision_line = line
+    _LOG.handle(record)
 
 
 class JsonFormatter(logging.Formatter):
@@ -36,12 +43,12 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the record's fields, or its message, as one line."""
-        fields = getattr(record, "fields", None)
+        decision: DecisionLine | None = getattr(record, "decision_line", None)
         line = {"time": record.created, "level": record.levelname, "logger": record.name}
-        if fields is None:
+        if decision is None:
             line["message"] = record.getMessage()
         else:
-            line.update(fields)
+            line.update(decision._asdict())
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
         return json.dumps(line)
