--- a/src/jacinthsail/daemon.py
+++ b/src/jacinthsail/daemon.py
@@ -4,14 +4,14 @@
 import gc
 import logging
 import sys
-from pathlib import Path
 
 import mode
 from absl import app, flags
 from returns.result import Failure, Result, Success
 
-from jacinthsail.errors import ConfigurationError, UnreadableFile, describe
+from jacinthsail.errors import ConfigurationError, describe
 from jacinthsail.internal.adapters.decision_log import BufferedLineHandler
+from jacinthsail.internal.adapters.files import read_text
 from jacinthsail.internal.adapters.node import NodeService
 from jacinthsail.internal.model.settings import NodeSettings
 from jacinthsail.internal.queries.settings import parse_settings
@@ -29,11 +29,12 @@
 
 def read_settings(path: str) -> Result[NodeSettings, tuple[ConfigurationError, ...]]:
     """Return the settings in a file, or every fault found in it."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return Failure((UnreadableFile(path, str(error)),))
-    return parse_settings(text, path)
+    match read_text(path):
+        case Success(text):
+            return parse_settings(text, path)
+        case Failure(error):
+            return Failure((error,))
+    raise AssertionError("a result is a success or a failure")
 
 
 def run(_argv: list[str]) -> int:
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/files.py
@@ -0,0 +1,15 @@
+"""Reads text files."""
+
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import UnreadableFile
+
+
+def read_text(path: str) -> Result[str, UnreadableFile]:
+    """Return the text of a file."""
+    try:
+        return Success(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(UnreadableFile(path, str(error)))
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/tool.py
@@ -0,0 +1,126 @@
+"""Answers the requests of the operators' tool; it reads files and status pages only."""
+
+import asyncio
+import json
+from collections.abc import Iterator
+from functools import singledispatch
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import ConfigurationError, describe
+from jacinthsail.internal.adapters.files import read_text
+from jacinthsail.internal.model.document import Section
+from jacinthsail.internal.model.reports import (
+    CheckFiles,
+    CompareSections,
+    ExplainRequest,
+    FileCheck,
+    Report,
+    ShowStatus,
+)
+from jacinthsail.internal.queries.checks import (
+    EXIT_INVALID,
+    check_report,
+    check_text,
+    section_name_of,
+)
+from jacinthsail.internal.queries.differences import difference_report, section_differences
+from jacinthsail.internal.queries.documents import parse_section
+from jacinthsail.internal.queries.explain import decisions_about, explain_report
+from jacinthsail.internal.queries.fleet import status_report
+
+
+@singledispatch
+def answer(request: object) -> Report:
+    """Return the report that a request of the tool asks for."""
+    raise NotImplementedError(f"no answer for {type(request).__name__}; register one")
+
+
+@answer.register
+def _(request: CheckFiles) -> Report:
+    checks = []
+    for path in _expand(request.paths):
+        checks.append(_check_file(path))
+    return check_report(tuple(checks))
+
+
+@answer.register
+def _(request: ShowStatus) -> Report:
+    return asyncio.run(_fleet_status(request))
+
+
+@answer.register
+def _(request: ExplainRequest) -> Report:
+    lines: list[str] = []
+    for path in request.log_paths:
+        match read_text(path):
+            case Success(text):
+                lines.extend(text.splitlines())
+            case Failure(error):
+                return _failure((error,))
+    return explain_report(request.request_id, decisions_about(request.request_id, lines))
+
+
+@answer.register
+def _(request: CompareSections) -> Report:
+    sections = []
+    for path in (request.old_path, request.new_path):
+        match _read_section(path):
+            case Success(section):
+                sections.append(section)
+            case Failure(errors):
+                return _failure(errors)
+    old, new = sections
+    return difference_report(section_differences(old, new))
+
+
+def _expand(paths: tuple[str, ...]) -> Iterator[str]:
+    for path in paths:
+        if not Path(path).is_dir():
+            yield path
+            continue
+        for member in sorted(Path(path).glob("*.toml")):
+            yield str(member)
+
+
+def _check_file(path: str) -> FileCheck:
+    match read_text(path):
+        case Success(text):
+            return check_text(path, text)
+        case Failure(error):
+            return FileCheck(path, "file", (error,))
+    raise AssertionError("a result is a success or a failure")
+
+
+def _read_section(path: str) -> Result[Section, tuple[ConfigurationError, ...]]:
+    match read_text(path):
+        case Success(text):
+            return parse_section(section_name_of(path), 0, text.encode())
+        case Failure(error):
+            return Failure((error,))
+    raise AssertionError("a result is a success or a failure")
+
+
+def _failure(errors: tuple[ConfigurationError, ...]) -> Report:
+    messages = tuple(describe(error) for error in errors)
+    return Report(messages, list(messages), EXIT_INVALID)
+
+
+async def _fleet_status(request: ShowStatus) -> Report:
+    timeout = aiohttp.ClientTimeout(total=request.timeout_s)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        pages = [_status_page(session, node) for node in request.nodes]
+        statuses = await asyncio.gather(*pages)
+    return status_report(dict(zip(request.nodes, statuses, strict=True)))
+
+
+async def _status_page(session: aiohttp.ClientSession, node: str) -> dict[str, Any] | None:
+    try:
+        async with session.get(f"http://{node}/status") as response:
+            page: dict[str, Any] = json.loads(await response.read())
+            return page
+    except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+        return None
--- a/src/jacinthsail/internal/queries/documents.py
+++ b/src/jacinthsail/internal/queries/documents.py
@@ -6,7 +6,7 @@
 from jsonschema import Draft202012Validator
 from returns.result import Failure, Result, Success
 
-from jacinthsail.errors import ConfigurationError
+from jacinthsail.errors import ConfigurationError, Conflict
 from jacinthsail.internal.model.document import (
     AimdLimitPolicy,
     ClassPolicy,
@@ -23,13 +23,20 @@
 
 DEFAULT_MAX_RETRIES = 2
 
+# Names travel in URL paths and in log lines.
+NAME_PATTERN = "^[A-Za-z0-9][A-Za-z0-9._-]*$"
+
+# Waiting longer than this helps nobody, and a larger value is usually a mistake in the unit.
+MAX_DEADLINE_MS = 600_000
+
+_NAMES = {"pattern": NAME_PATTERN}
 _POSITIVE = {"type": "integer", "minimum": 1}
 _CLASS = {
     "type": "object",
     "properties": {
         "importance": {"type": "integer", "minimum": 0, "maximum": MAX_IMPORTANCE},
         "execution": {"enum": [execution.value for execution in Execution]},
-        "deadline_ms": _POSITIVE,
+        "deadline_ms": {"type": "integer", "minimum": 1, "maximum": MAX_DEADLINE_MS},
         "max_retries": {"type": "integer", "minimum": 0, "maximum": 10},
         "spill_over": {"enum": [spill_over.value for spill_over in SpillOver]},
     },
@@ -43,7 +50,12 @@
         "connections": _POSITIVE,
         "queue_length": {"type": "integer", "minimum": 0},
         "limiter": {"enum": ["fixed", "aimd", "gradient"]},
-        "classes": {"type": "object", "additionalProperties": _CLASS, "minProperties": 1},
+        "classes": {
+            "type": "object",
+            "propertyNames": _NAMES,
+            "additionalProperties": _CLASS,
+            "minProperties": 1,
+        },
     },
     "required": ["slots", "connections", "classes"],
     "additionalProperties": False,
@@ -52,7 +64,11 @@
     "type": "object",
     "properties": {
         "owner": {"type": "string", "minLength": 1},
-        "services": {"type": "object", "additionalProperties": _SERVICE},
+        "services": {
+            "type": "object",
+            "propertyNames": _NAMES,
+            "additionalProperties": _SERVICE,
+        },
     },
     "required": ["owner", "services"],
     "additionalProperties": False,
@@ -72,7 +88,7 @@
     parsed = parse_toml(body.decode("utf-8", "replace"), name)
     match parsed:
         case Success(table):
-            errors = schema_errors(_VALIDATOR, table, name)
+            errors = schema_errors(_VALIDATOR, table, name) or _conflicts(table, name)
             if errors:
                 return Failure(errors)
             return Success(_section_of(table, name, version, digest_of(body)))
@@ -81,6 +97,18 @@
     raise AssertionError("a result is a success or a failure")
 
 
+def _conflicts(table: dict[str, Any], source: str) -> tuple[ConfigurationError, ...]:
+    """Return contradictions between values that are valid one by one."""
+    errors = []
+    for service, entry in table["services"].items():
+        key = f"services.{service}.slots"
+        if entry["slots"] > entry["connections"]:
+            detail = f"{entry['slots']} slots need more than {entry['connections']} connections"
+            remedy = "lower slots or raise connections"
+            errors.append(Conflict(source, key, detail, remedy))
+    return tuple(errors)
+
+
 def _section_of(table: dict[str, Any], name: str, version: int, digest: str) -> Section:
     services = {}
     for service, entry in table["services"].items():
--- a/src/jacinthsail/internal/queries/schema.py
+++ b/src/jacinthsail/internal/queries/schema.py
@@ -10,6 +10,7 @@
 
 from jacinthsail.errors import (
     ConfigurationError,
+    Conflict,
     MalformedToml,
     MissingKey,
     OutOfRange,
@@ -18,6 +19,14 @@
     WrongType,
 )
 
+_TYPE_NAMES = {
+    "integer": "a whole number",
+    "string": "a text in quotes",
+    "object": "a table",
+    "array": "a list in brackets",
+    "boolean": "true or false",
+}
+
 
 def parse_toml(text: str, source: str) -> Result[dict[str, Any], MalformedToml]:
     """Return the table of a TOML text."""
@@ -65,6 +74,14 @@
         case "maximum":
             return [OutOfRange(source, key, found, f"of {rule} or less")]
         case "type":
-            return [WrongType(source, key, f"a value of type {rule}", found)]
+            return [WrongType(source, key, _TYPE_NAMES.get(rule, rule), found)]
+        case "pattern":
+            detail = f"{instance!r} is not a usable name"
+            remedy = "use letters, digits, dots, hyphens and underscores only"
+            return [Conflict(source, key, detail, remedy)]
+        case "minLength" | "minProperties":
+            return [Conflict(source, key, "it is empty", "give it a value")]
+        case "anyOf" | "format":
+            return [WrongType(source, key, "an IP address, not a host name,", found)]
         case _:
             return [WrongType(source, key, f"a value that fits: {fault.message}", found)]
--- a/src/jacinthsail/internal/queries/settings.py
+++ b/src/jacinthsail/internal/queries/settings.py
@@ -5,15 +5,18 @@
 from jsonschema import Draft202012Validator
 from returns.result import Failure, Result, Success
 
-from jacinthsail.errors import ConfigurationError
+from jacinthsail.errors import ConfigurationError, Conflict
 from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
+from jacinthsail.internal.queries.documents import NAME_PATTERN
 from jacinthsail.internal.queries.schema import parse_toml, schema_errors
 
 DEFAULT_CROSS_REGION_BYTES_PER_S = 1_000_000
 DEFAULT_LEDGER_ENTRIES = 50_000
 DEFAULT_LOG_BUFFER_LINES = 10_000
 
-_NAME = {"type": "string", "minLength": 1}
+_OWN_ENDPOINTS = ("callers", "relay", "operators", "target")
+
+_NAME = {"type": "string", "minLength": 1, "pattern": NAME_PATTERN}
 _ENDPOINT = {
     "type": "object",
     "properties": {
@@ -73,7 +76,7 @@
     parsed = parse_toml(text, source)
     match parsed:
         case Success(table):
-            errors = schema_errors(_VALIDATOR, table, source)
+            errors = schema_errors(_VALIDATOR, table, source) or _conflicts(table, source)
             if errors:
                 return Failure(errors)
             return Success(_settings_of(table))
@@ -82,6 +85,20 @@
     raise AssertionError("a result is a success or a failure")
 
 
+def _conflicts(table: dict[str, Any], source: str) -> tuple[ConfigurationError, ...]:
+    """Return the ports that this VM would need twice."""
+    errors = []
+    owners: dict[Endpoint, str] = {}
+    for name in _OWN_ENDPOINTS:
+        endpoint = _endpoint(table[name])
+        earlier = owners.setdefault(endpoint, name)
+        if earlier == name:
+            continue
+        detail = f"{endpoint.host}:{endpoint.port} is used by {earlier} too"
+        errors.append(Conflict(source, f"{name}.port", detail, "choose a port of its own"))
+    return tuple(errors)
+
+
 def _settings_of(table: dict[str, Any]) -> NodeSettings:
     node = table["node"]
     limits = table.get("limits", {})
--- /dev/null
+++ b/tests/fast/test_doc_examples.py
@@ -0,0 +1,16 @@
+"""Guards the examples in doc comments."""
+
+import doctest
+import unittest
+
+import jacinthsail
+from jacinthsail import errors
+from jacinthsail.internal.queries import rank
+
+
+class DocExamplesTest(unittest.TestCase):
+    def test_examples_run_as_written(self):
+        """An example that no longer holds misleads every reader."""
+        for module in (jacinthsail, errors, rank):
+            with self.subTest(module=module.__name__):
+                self.assertEqual(doctest.testmod(module).failed, 0)
