Add load control: limiters, admission threshold, retry budgets

Cause: limiters never moved and were reset with every published item, the admission threshold was always 0, retries had no budget per class and allowances of finished requests stayed in the table.

Change: AIMD and gradient limiters learn from windows of calls and tell a slow target from a queue by comparing latency at a lowered limit. Admission refuses calls whose expected wait exceeds their deadline and moves a threshold with the drain time of the queue; entry nodes refuse what every candidate would refuse. Retries take a token of their class, back off with jitter, and an allowance is dropped once no call in progress holds it.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from functools import singledispatch
+from itertools import count
 from random import Random
 
 import aiohttp
@@ -14,7 +15,15 @@
 from jacinthsail.internal.adapters.gate import AdmissionGate
 from jacinthsail.internal.adapters.relay import RelayPool
 from jacinthsail.internal.adapters.target import call_target
-from jacinthsail.internal.commands.retries import grant_allowance, spend_retry, take_allowance
+from jacinthsail.internal.commands.retries import (
+    close_allowance,
+    end_retries,
+    open_allowance,
+    record_success,
+    return_allowance,
+    spend_retry,
+    take_allowance,
+)
 from jacinthsail.internal.model.admission import QueuedCall
 from jacinthsail.internal.model.calls import Call, NotRun, Outcome, Reason
 from jacinthsail.internal.model.decisions import DecisionKind
@@ -22,7 +31,7 @@
 from jacinthsail.internal.model.routing import Refused, ToOwnTarget, ToPeer
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.decision_lines import decision_line, line_of
-from jacinthsail.internal.queries.limits import sample_of
+from jacinthsail.internal.queries.limits import is_overload, sample_of
 from jacinthsail.internal.queries.lookup import class_policy
 from jacinthsail.internal.queries.retries import allowance_of, decide_retry
 from jacinthsail.internal.queries.routing import decide_route, vm_of
@@ -54,29 +63,34 @@
         if head.depth > 0:
             return await self._serve_with_retries(call, policy)
         retries = self.node_state["retries"]
-        grant_allowance(retries, head.request_id, head.retries_left)
+        open_allowance(retries, head.request_id, head.retries_left)
         try:
             return await self._serve_with_retries(call, policy)
         finally:
-            take_allowance(retries, head.request_id)
+            close_allowance(retries, head.request_id)
 
     async def _serve_with_retries(self, call: Call, policy: ClassPolicy) -> Outcome:
         retries = self.node_state["retries"]
         tried: frozenset[str] = frozenset()
-        while True:
+        for attempt in count(1):
             head = call.head._replace(retries_left=allowance_of(retries, call.head.request_id))
             take_allowance(retries, head.request_id)
             route = decide_route(self.node_state, head, tried, self.loop.time(), self.random)
             log_decision(line_of(route, head, self.loop.time()))
             outcome = await execute_route(route, self, call._replace(head=head))
-            grant_allowance(retries, head.request_id, outcome.retries_left)
-            decision = decide_retry(outcome, retries, head, policy, self.loop.time())
-            log_decision(line_of(decision, head, self.loop.time()))
+            now = self.loop.time()
+            return_allowance(retries, head.request_id, outcome.retries_left)
+            if not is_overload(outcome):
+                record_success(retries, head, now)
+            decision = decide_retry(outcome, retries, head, policy, attempt, now, self.random)
+            log_decision(line_of(decision, head, now))
             if not decision.again:
+                end_retries(retries, head.request_id, decision)
                 return outcome._replace(retries_left=allowance_of(retries, head.request_id))
-            spend_retry(retries, head.request_id, head.call_class)
+            spend_retry(retries, head, now)
             tried = tried | {vm_of(route, self.node_state)}
             await asyncio.sleep(decision.delay_s)
+        raise AssertionError("attempts are counted without end")
 
     async def serve_own(self, call: Call) -> Outcome:
         """Run a call at the own target once admission gives it a slot."""
@@ -88,11 +102,13 @@
             log_decision(decision_line(DecisionKind.ADMISSION, head, "", reason, now))
             return entry.refusal
         assert entry.started is not None
-        grant_allowance(self.node_state["retries"], head.request_id, head.retries_left)
-        outcome = await self._run_at_target(call, entry.started)
-        remaining = allowance_of(self.node_state["retries"], head.request_id)
-        take_allowance(self.node_state["retries"], head.request_id)
-        return outcome._replace(retries_left=remaining)
+        retries = self.node_state["retries"]
+        open_allowance(retries, head.request_id, head.retries_left)
+        try:
+            outcome = await self._run_at_target(call, entry.started)
+            return outcome._replace(retries_left=allowance_of(retries, head.request_id))
+        finally:
+            close_allowance(retries, head.request_id)
 
     async def _run_at_target(self, call: Call, started: QueuedCall) -> Outcome:
         started_at = self.loop.time()
--- a/src/jacinthsail/internal/adapters/gate.py
+++ b/src/jacinthsail/internal/adapters/gate.py
@@ -7,6 +7,7 @@
 from jacinthsail.internal.commands.admission import (
     enqueue_call,
     finish_call,
+    observe_queue,
     remove_queued,
     start_call,
 )
@@ -22,8 +23,10 @@
 from jacinthsail.internal.queries.admission import (
     RETRY_AFTER_S,
     decide_admission,
-    has_room,
+    drops_expired,
+    is_expired,
     next_to_start,
+    starts_at_once,
 )
 
 Waiter = asyncio.Future[NotRun | None]
@@ -45,14 +48,15 @@
 
     async def enter(self, head: CallHead, now: float) -> Entry:
         """Return the started call once it has a slot, or why it was not run."""
+        observe_queue(self.admission, now)
         decision = decide_admission(self.admission, head, now)
         refusal = _apply(decision, self)
         if refusal is not None:
             return Entry(None, refusal._replace(retries_left=head.retries_left))
         queued = QueuedCall(self.admission["next_ticket"], head, now)
-        starts_at_once = not self.admission["queue"] and has_room(self.admission)
+        needs_no_place = starts_at_once(self.admission)
         enqueue_call(self.admission, queued)
-        if starts_at_once:
+        if needs_no_place:
             start_call(self.admission, queued, now)
             return Entry(queued, None)
         return await self._wait(queued)
@@ -61,14 +65,17 @@
         loop = asyncio.get_running_loop()
         waiter: Waiter = loop.create_future()
         self.waiters[queued.ticket] = waiter
-        expiry = loop.call_at(queued.head.deadline, self._expire, queued)
+        expiry = None
+        if drops_expired(self.admission):
+            expiry = loop.call_at(queued.head.deadline, self._expire, queued)
         try:
             refusal = await waiter
         except asyncio.CancelledError:
             self._abandon(queued, loop.time())
             raise
         finally:
-            expiry.cancel()
+            if expiry is not None:
+                expiry.cancel()
             self.waiters.pop(queued.ticket, None)
         if refusal is not None:
             return Entry(None, refusal)
@@ -77,7 +84,7 @@
     def _abandon(self, queued: QueuedCall, now: float) -> None:
         remove_queued(self.admission, queued)
         if queued.ticket in self.admission["in_flight"]:
-            self.leave(queued, Sample(0.0, 0, overloaded=False), now)
+            self.leave(queued, None, now)
 
     def _expire(self, queued: QueuedCall) -> None:
         self.refuse_queued(queued, Reason.DEADLINE_EXPIRED)
@@ -90,10 +97,11 @@
             return
         waiter.set_result(NotRun(reason, queued.head.retries_left, RETRY_AFTER_S))
 
-    def leave(self, queued: QueuedCall, sample: Sample, now: float) -> None:
+    def leave(self, queued: QueuedCall, sample: Sample | None, now: float) -> None:
         """Free the slot of a call and start those that fit now."""
         finish_call(self.admission, queued, sample, now)
         self.start_waiting(now)
+        observe_queue(self.admission, now)
 
     def start_waiting(self, now: float) -> None:
         """Start queued calls while there is room."""
@@ -101,7 +109,7 @@
             queued = next_to_start(self.admission, now)
             if queued is None:
                 return
-            if now >= queued.head.deadline:
+            if is_expired(self.admission, queued, now):
                 self.refuse_queued(queued, Reason.DEADLINE_EXPIRED)
                 continue
             start_call(self.admission, queued, now)
--- a/src/jacinthsail/internal/adapters/platform.py
+++ b/src/jacinthsail/internal/adapters/platform.py
@@ -59,4 +59,4 @@
         )
         policy = service_policy(self.node_state["store"], self.node_state["settings"].service)
         if policy is not None:
-            apply_service_policy(self.node_state["admission"], policy)
+            apply_service_policy(self.node_state["admission"], policy, now)
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -14,6 +14,7 @@
     record_failure,
     record_heartbeat,
     record_hello,
+    record_threshold,
 )
 from jacinthsail.internal.model.calls import Call, NotRun, Outcome, Reason, Unknown
 from jacinthsail.internal.model.membership import VmEntry
@@ -27,6 +28,7 @@
     Message,
 )
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.admission import advertised_threshold
 
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
@@ -165,7 +167,7 @@
             outcome = await self.serve_own(call)
         finally:
             connection.serving.pop(request.call_id, None)
-        threshold = self.node_state["admission"]["threshold"]
+        threshold = advertised_threshold(self.node_state["admission"])
         connection.send(CallReply(request.call_id, outcome, threshold))
 
 
@@ -199,6 +201,9 @@
 
 @handle_message.register
 def _(message: CallReply, pool: RelayPool, connection: PeerConnection) -> None:
+    peer = pool.node_state["peers"].get(connection.peer_vm)
+    if peer is not None:
+        record_threshold(peer, message.threshold, connection.last_received)
     waiter = connection.waiters.get(message.call_id)
     if waiter is not None and not waiter.done():
         waiter.set_result(message.outcome)
--- a/src/jacinthsail/internal/commands/peers.py
+++ b/src/jacinthsail/internal/commands/peers.py
@@ -11,6 +11,7 @@
         "incarnation": hello.incarnation,
         "last_heard": now,
         "threshold": 0,
+        "threshold_at": now,
         "draining": False,
         "in_flight": 0,
         "failures": 0,
@@ -22,10 +23,16 @@
 def record_heartbeat(peer: PeerState, heartbeat: Heartbeat, now: float) -> None:
     """Take over what a heartbeat says."""
     peer["last_heard"] = now
-    peer["threshold"] = heartbeat.threshold
+    record_threshold(peer, heartbeat.threshold, now)
     peer["draining"] = heartbeat.draining
 
 
+def record_threshold(peer: PeerState, threshold: int, now: float) -> None:
+    """Take over the admission threshold that a peer states in a reply or a heartbeat."""
+    peer["threshold"] = threshold
+    peer["threshold_at"] = now
+
+
 def record_failure(peer: PeerState, suspected_until: float) -> None:
     """Remember that a call to this peer failed, and avoid the peer for a while."""
     peer["failures"] += 1
--- a/src/jacinthsail/internal/model/admission.py
+++ b/src/jacinthsail/internal/model/admission.py
@@ -5,6 +5,8 @@
 from sortedcontainers import SortedKeyList
 
 from jacinthsail.internal.model.calls import CallHead, Reason
+from jacinthsail.internal.model.document import LimitPolicy
+from jacinthsail.internal.model.settings import Mechanism
 
 
 class FixedLimit(NamedTuple):
@@ -13,30 +15,63 @@
     limit: int
 
 
+class LatencyWindow(NamedTuple):
+    """Sums over the calls that started since the limit last changed.
+
+    Calls that started earlier met the queue of another limit, so they say nothing of this one.
+    """
+
+    since: float
+    calls: int
+    total_latency_s: float
+    total_in_flight: int
+    overloads: int
+
+
+class Comparison(NamedTuple):
+    """What was seen at a higher limit, to compare with what the lowered limit brings."""
+
+    limit: float
+    latency_s: float
+    in_flight: float
+
+
+class LatencyTrend(NamedTuple):
+    """What a limiter knows of the target's latency.
+
+    ``baseline_s`` is the latency without a queue at the target, 0 when it is not known yet.
+    ``comparison`` is set while a lowered limit is tried out.
+    """
+
+    baseline_s: float
+    window: LatencyWindow
+    comparison: Comparison | None
+    windows_since_comparison: int
+
+
 class AimdLimit(NamedTuple):
-    """Grows by one per round of successes and shrinks by a factor on refusal or timeout."""
+    """Grows by one per window and shrinks by a constant factor."""
 
     limit: float
     minimum: int
     maximum: int
-    last_decrease: float
+    trend: LatencyTrend
 
 
 class GradientLimit(NamedTuple):
-    """Follows the ratio of long-term to recent latency."""
+    """Grows by its square root per window and shrinks by the ratio of baseline to latency."""
 
     limit: float
     minimum: int
     maximum: int
-    long_latency_s: float
-    recent_latency_s: float
+    trend: LatencyTrend
 
 
 Limiter = FixedLimit | AimdLimit | GradientLimit
 
 
 class Sample(NamedTuple):
-    """What one finished call tells the limiter."""
+    """What one finished call tells the limiter; ``in_flight`` counts the call itself."""
 
     latency_s: float
     in_flight: int
@@ -52,11 +87,18 @@
 
 
 class AdmissionState(TypedDict):
-    """Queue, calls in flight and limiter of the own target."""
+    """Queue, calls in flight and limiter of the own target.
+
+    ``limit_policy`` is the policy that the limiter was made from. ``threshold`` is the lowest rank
+    that is admitted while there is a queue; it follows the shortest time that the queue would have
+    needed to drain since ``window_start``.
+    """
 
+    disabled: frozenset[Mechanism]
     queue: SortedKeyList
     queue_length: int
     in_flight: dict[int, QueuedCall]
+    limit_policy: LimitPolicy | None
     limiter: Limiter
     threshold: int
     window_start: float
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -16,6 +16,7 @@
     NOT_READY = "not-ready"
     NO_TARGET = "no-target"
     BELOW_THRESHOLD = "below-threshold"
+    BELOW_EVERY_THRESHOLD = "below-every-threshold"
     QUEUE_FULL = "queue-full"
     EVICTED = "evicted"
     DEADLINE_EXPIRED = "deadline-expired"
--- a/src/jacinthsail/internal/model/retries.py
+++ b/src/jacinthsail/internal/model/retries.py
@@ -1,14 +1,35 @@
 """Budgets that bound retries."""
 
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
+
+from jacinthsail.internal.model.settings import Mechanism
+
+
+class RetryBudget(NamedTuple):
+    """Tokens for the retries of one class, as counted at one time in monotonic seconds."""
+
+    tokens: float
+    counted_at: float
+
+
+class Allowance(NamedTuple):
+    """Retries that the calls of a request may still use from this VM.
+
+    ``holders`` counts the calls in progress that brought retries with them. Without a holder there
+    is nobody to return an allowance to, so it is dropped.
+    """
+
+    retries: int
+    holders: int
 
 
 class RetryState(TypedDict):
     """Token budget per class and the allowance of each request that is being served.
 
-    ``allowances`` maps a request id to the retries that its calls from this VM may still use. An
-    allowance is moved between hops and never copied, so the sum over a call chain never grows.
+    ``allowances`` is keyed by request id. An allowance is moved between hops and never copied, so
+    the sum over a call chain never grows.
     """
 
-    tokens: dict[str, float]
-    allowances: dict[str, int]
+    disabled: frozenset[Mechanism]
+    budgets: dict[str, RetryBudget]
+    allowances: dict[str, Allowance]
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -5,9 +5,9 @@
 from sortedcontainers import SortedKeyList
 
 from jacinthsail.internal.model.admission import AdmissionState, FixedLimit
-from jacinthsail.internal.model.settings import NodeSettings
+from jacinthsail.internal.model.settings import Mechanism, NodeSettings
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.admission import queue_order
+from jacinthsail.internal.queries.admission import arrival_order, queue_order
 
 
 def initial_state(settings: NodeSettings, incarnation: str, now: float, now_ms: int) -> NodeState:
@@ -24,8 +24,8 @@
             "as_of_ms": 0,
             "changed_at": now,
         },
-        admission=initial_admission(now),
-        retries={"tokens": {}, "allowances": {}},
+        admission=initial_admission(now, settings.disabled),
+        retries={"disabled": settings.disabled, "budgets": {}, "allowances": {}},
         ledger={
             "incarnation": incarnation,
             "entries": OrderedDict(),
@@ -38,12 +38,15 @@
     )
 
 
-def initial_admission(now: float) -> AdmissionState:
+def initial_admission(now: float, disabled: frozenset[Mechanism]) -> AdmissionState:
     """Return an admission state that refuses everything until a section sets its sizes."""
+    order = arrival_order if Mechanism.IMPORTANCE in disabled else queue_order
     return {
-        "queue": SortedKeyList(key=queue_order),
+        "disabled": disabled,
+        "queue": SortedKeyList(key=order),
         "queue_length": 0,
         "in_flight": {},
+        "limit_policy": None,
         "limiter": FixedLimit(0),
         "threshold": 0,
         "window_start": now,
--- a/src/jacinthsail/internal/queries/limits.py
+++ b/src/jacinthsail/internal/queries/limits.py
@@ -1,11 +1,23 @@
-"""Limiters: how many calls may be in flight to the own target."""
+"""Limiters: how many calls may be in flight to the own target.
 
+A limiter learns from windows of finished calls. Latency alone cannot tell a slow target from a
+queue at the target, so a limiter that sees latency rise lowers the limit and compares: with a
+queue, latency falls in proportion to the calls in flight, and the limit is lowered further; with a
+slow target, latency stays, so the limit returns and the latency becomes the new baseline.
+"""
+
+from collections.abc import Callable
 from functools import singledispatch
+from math import sqrt
+from typing import NamedTuple
 
 from jacinthsail.internal.model.admission import (
     AimdLimit,
+    Comparison,
     FixedLimit,
     GradientLimit,
+    LatencyTrend,
+    LatencyWindow,
     Limiter,
     Sample,
 )
@@ -14,31 +26,101 @@
     AimdLimitPolicy,
     FixedLimitPolicy,
     GradientLimitPolicy,
+    ServicePolicy,
 )
+from jacinthsail.internal.model.settings import Mechanism
 
 # HTTP statuses by which a target says that it has too much to do.
 OVERLOAD_STATUSES = frozenset({429, 503})
 
+# Means over fewer calls vary too much to be compared.
+MIN_WINDOW_CALLS = 20
+
+# Below this share of the limit the calls in flight say nothing of what the limit does.
+USED_SHARE = 0.8
+
+# Window means vary by up to about a quarter, which must not look like a queue.
+LATENCY_TOLERANCE = 1.5
+
+# A single failed call must not lower the limit.
+OVERLOAD_SHARE = 0.05
+
+# A smaller step could not be told from the variation of window means.
+COMPARISON_FACTOR = 0.7
+
+# A baseline that was learned while there was a queue is too high; a comparison from time to time
+# corrects it and costs about 1% of throughput.
+WINDOWS_BETWEEN_COMPARISONS = 64
+
+# How far the baseline moves towards a lower latency, and towards any latency while the limit is not
+# in use.
+BASELINE_FALL = 0.3
+BASELINE_DRIFT = 0.1
+
+# One window may halve the limit but not more, since its mean may be wrong.
+STRONGEST_DECREASE = 0.5
+
+
+AdaptiveLimit = AimdLimit | GradientLimit
+
+
+class WindowMeans(NamedTuple):
+    """What a complete window shows."""
+
+    latency_s: float
+    in_flight: float
+    overload_share: float
+
+
+class Steps(NamedTuple):
+    """How a kind of limiter grows and shrinks."""
+
+    grown: Callable[[float], float]
+    shrunk: Callable[[float, float], float]
+
+
+class LimitStep(NamedTuple):
+    """The limit and what is known of the latency after a complete window."""
+
+    limit: float
+    baseline_s: float
+    comparison: Comparison | None
+
 
 @singledispatch
-def new_limiter(policy: object) -> Limiter:
+def new_limiter(policy: object, now: float) -> Limiter:
     """Return a limiter in its initial state for a limit policy of the document."""
     raise NotImplementedError(f"no limiter for {type(policy).__name__}; register one")
 
 
 @new_limiter.register
-def _(policy: FixedLimitPolicy) -> Limiter:
+def _(policy: FixedLimitPolicy, now: float) -> Limiter:
     return FixedLimit(policy.limit)
 
 
 @new_limiter.register
-def _(policy: AimdLimitPolicy) -> Limiter:
-    return AimdLimit(float(policy.initial), policy.minimum, policy.maximum, last_decrease=0.0)
+def _(policy: AimdLimitPolicy, now: float) -> Limiter:
+    return AimdLimit(float(policy.initial), policy.minimum, policy.maximum, _new_trend(now))
 
 
 @new_limiter.register
-def _(policy: GradientLimitPolicy) -> Limiter:
-    return GradientLimit(float(policy.initial), policy.minimum, policy.maximum, 0.0, 0.0)
+def _(policy: GradientLimitPolicy, now: float) -> Limiter:
+    return GradientLimit(float(policy.initial), policy.minimum, policy.maximum, _new_trend(now))
+
+
+def limiter_for(policy: ServicePolicy, disabled: frozenset[Mechanism], now: float) -> Limiter:
+    """Return the limiter of a service; without adaptive limits only its connections bound it."""
+    if Mechanism.ADAPTIVE_LIMIT in disabled:
+        return FixedLimit(policy.connections)
+    return new_limiter(policy.limit, now)
+
+
+def _new_trend(now: float) -> LatencyTrend:
+    return LatencyTrend(0.0, _new_window(now), None, 0)
+
+
+def _new_window(now: float) -> LatencyWindow:
+    return LatencyWindow(now, 0, 0.0, 0, 0)
 
 
 @singledispatch
@@ -54,12 +136,12 @@
 
 @limit_of.register
 def _(limiter: AimdLimit) -> int:
-    return max(limiter.minimum, int(limiter.limit))
+    return int(limiter.limit)
 
 
 @limit_of.register
 def _(limiter: GradientLimit) -> int:
-    return max(limiter.minimum, int(limiter.limit))
+    return int(limiter.limit)
 
 
 @singledispatch
@@ -75,12 +157,130 @@
 
 @limiter_after.register
 def _(limiter: AimdLimit, sample: Sample, now: float) -> Limiter:
-    return limiter
+    return _adaptive_after(limiter, _AIMD_STEPS, sample, now)
 
 
 @limiter_after.register
 def _(limiter: GradientLimit, sample: Sample, now: float) -> Limiter:
-    return limiter
+    return _adaptive_after(limiter, _GRADIENT_STEPS, sample, now)
+
+
+def _grown_by_one(limit: float) -> float:
+    return limit + 1
+
+
+def _shrunk_by_factor(limit: float, latency_ratio: float) -> float:
+    return limit * COMPARISON_FACTOR
+
+
+def _grown_by_root(limit: float) -> float:
+    return limit + sqrt(limit)
+
+
+def _shrunk_by_ratio(limit: float, latency_ratio: float) -> float:
+    return limit * min(COMPARISON_FACTOR, max(STRONGEST_DECREASE, latency_ratio))
+
+
+_AIMD_STEPS = Steps(_grown_by_one, _shrunk_by_factor)
+_GRADIENT_STEPS = Steps(_grown_by_root, _shrunk_by_ratio)
+
+
+def _adaptive_after(
+    limiter: AdaptiveLimit, steps: Steps, sample: Sample, now: float
+) -> AdaptiveLimit:
+    trend = limiter.trend
+    window = window_after(trend.window, sample, now)
+    if window.calls < max(MIN_WINDOW_CALLS, limiter.limit):
+        return limiter._replace(trend=trend._replace(window=window))
+    step = step_after_window(limiter, steps, means_of(window))
+    limit = min(float(limiter.maximum), max(float(limiter.minimum), step.limit))
+    return limiter._replace(limit=limit, trend=_trend_after(trend, step, now))
+
+
+def _trend_after(trend: LatencyTrend, step: LimitStep, now: float) -> LatencyTrend:
+    compares = step.comparison is not None or trend.comparison is not None
+    windows = 0 if compares else trend.windows_since_comparison + 1
+    return LatencyTrend(step.baseline_s, _new_window(now), step.comparison, windows)
+
+
+def window_after(window: LatencyWindow, sample: Sample, now: float) -> LatencyWindow:
+    """Return the window with one more finished call.
+
+    A refusal by the target takes no time, so its latency is left out of the mean.
+    """
+    if now - sample.latency_s < window.since:
+        return window
+    if sample.overloaded:
+        return window._replace(
+            calls=window.calls + 1,
+            total_in_flight=window.total_in_flight + sample.in_flight,
+            overloads=window.overloads + 1,
+        )
+    return window._replace(
+        calls=window.calls + 1,
+        total_latency_s=window.total_latency_s + sample.latency_s,
+        total_in_flight=window.total_in_flight + sample.in_flight,
+    )
+
+
+def means_of(window: LatencyWindow) -> WindowMeans:
+    """Return the means over a window that holds at least one call."""
+    served = window.calls - window.overloads
+    latency_s = window.total_latency_s / served if served else 0.0
+    return WindowMeans(
+        latency_s, window.total_in_flight / window.calls, window.overloads / window.calls
+    )
+
+
+def step_after_window(limiter: AdaptiveLimit, steps: Steps, means: WindowMeans) -> LimitStep:
+    """Return the limit and the baseline after a complete window."""
+    limit = limiter.limit
+    trend = limiter.trend
+    baseline_s = baseline_after(limiter, means)
+    if means.overload_share > OVERLOAD_SHARE:
+        return LimitStep(steps.shrunk(limit, 1 - means.overload_share), baseline_s, None)
+    if means.in_flight < USED_SHARE * int(limit):
+        restored = trend.comparison.limit if trend.comparison is not None else limit
+        return LimitStep(restored, baseline_s, None)
+    if trend.comparison is not None:
+        return _step_after_comparison(limit, trend.comparison, means)
+    is_at_minimum = int(limit) <= limiter.minimum
+    has_risen = means.latency_s > LATENCY_TOLERANCE * baseline_s
+    is_due = trend.windows_since_comparison >= WINDOWS_BETWEEN_COMPARISONS
+    if (has_risen or is_due) and means.latency_s and not is_at_minimum:
+        comparison = Comparison(limit, means.latency_s, means.in_flight)
+        return LimitStep(steps.shrunk(limit, baseline_s / means.latency_s), baseline_s, comparison)
+    return LimitStep(steps.grown(limit), baseline_s, None)
+
+
+def _step_after_comparison(limit: float, before: Comparison, means: WindowMeans) -> LimitStep:
+    if not is_queue_at_target(before, means):
+        return LimitStep(before.limit, means.latency_s, None)
+    comparison = Comparison(limit, means.latency_s, means.in_flight)
+    return LimitStep(limit * COMPARISON_FACTOR, means.latency_s, comparison)
+
+
+def is_queue_at_target(before: Comparison, means: WindowMeans) -> bool:
+    """Tell whether latency fell with the calls in flight by more than half of the proportion."""
+    proportional_s = before.latency_s * means.in_flight / before.in_flight
+    return means.latency_s < (before.latency_s + proportional_s) / 2
+
+
+def baseline_after(limiter: AdaptiveLimit, means: WindowMeans) -> float:
+    """Return the latency without a queue, as far as a window shows it.
+
+    At the minimum this node causes no queue that it could shorten, so any latency is accepted.
+    """
+    baseline_s = limiter.trend.baseline_s
+    if not means.latency_s:
+        return baseline_s
+    if not baseline_s or int(limiter.limit) <= limiter.minimum:
+        return means.latency_s
+    if means.latency_s < baseline_s:
+        return baseline_s + BASELINE_FALL * (means.latency_s - baseline_s)
+    if means.in_flight < USED_SHARE * int(limiter.limit):
+        return baseline_s + BASELINE_DRIFT * (means.latency_s - baseline_s)
+    return baseline_s
 
 
 @singledispatch
@@ -94,7 +294,8 @@
     return outcome.status in OVERLOAD_STATUSES
 
 
-def sample_of(outcome: Outcome | None, latency_s: float, in_flight: int) -> Sample:
-    """Return what a finished call tells the limiter; no outcome means that it was cancelled."""
-    overloaded = outcome is not None and is_overload(outcome)
-    return Sample(latency_s, in_flight, overloaded)
+def sample_of(outcome: Outcome | None, latency_s: float, in_flight: int) -> Sample | None:
+    """Return what a finished call tells the limiter; a cancelled call has no outcome."""
+    if outcome is None:
+        return None
+    return Sample(latency_s, in_flight, is_overload(outcome))
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -6,10 +6,16 @@
 from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.document import ClassPolicy, SpillOver
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
+from jacinthsail.internal.model.peers import PeerState
 from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.lookup import class_policy, vms_of_service
 
+# A peer that gets no calls sends no replies, so an old threshold would keep refusing for it until
+# its next heartbeat; after this time a call is sent to learn the present one.
+THRESHOLD_VALID_S = 0.5
+
 
 def decide_route(
     state: NodeState, head: CallHead, tried: frozenset[str], now: float, random: Random
@@ -29,10 +35,14 @@
     if settings.service == head.service and settings.vm not in tried and not is_draining(state):
         return ToOwnTarget()
     candidates = _usable(state, vms_of_service(store, head.service), tried, now)
-    for candidates_at_distance in _by_distance(state, candidates, policy):
-        entry = _least_loaded_of_two(state, candidates_at_distance, random)
+    groups = _by_distance(state, candidates, policy)
+    for candidates_at_distance in groups:
+        willing = _willing(state, candidates_at_distance, head, now)
+        if not willing:
+            continue
+        entry = _least_loaded_of_two(state, willing, random)
         return ToPeer(entry, crosses_region=entry.region != settings.region)
-    return Refused(Reason.NO_TARGET)
+    return Refused(Reason.BELOW_EVERY_THRESHOLD if groups else Reason.NO_TARGET)
 
 
 def is_draining(state: NodeState) -> bool:
@@ -56,6 +66,25 @@
     return usable
 
 
+def _willing(state: NodeState, entries: list[VmEntry], head: CallHead, now: float) -> list[VmEntry]:
+    if Mechanism.IMPORTANCE in state["settings"].disabled:
+        return entries
+    willing = []
+    for entry in entries:
+        peer = state["peers"].get(entry.vm)
+        if peer is not None and is_below_peer_threshold(peer, head, now):
+            continue
+        willing.append(entry)
+    return willing
+
+
+def is_below_peer_threshold(peer: PeerState, head: CallHead, now: float) -> bool:
+    """Tell whether a peer said lately that it refuses calls of this rank."""
+    if now - peer["threshold_at"] > THRESHOLD_VALID_S:
+        return False
+    return head.rank < peer["threshold"]
+
+
 def _by_distance(
     state: NodeState, candidates: list[VmEntry], policy: ClassPolicy
 ) -> list[list[VmEntry]]:
