Tell a queue at the target from a slow target, and test admission

Change: a comparison takes two rounds of calls, a raised baseline is checked again after 4 windows, and the gradient limiter grows by half while latency is near the baseline. Property tests cover arrival and event orders; a fake target with fixed slots compares the limiters.

--- a/src/jacinthsail/internal/model/admission.py
+++ b/src/jacinthsail/internal/model/admission.py
@@ -29,11 +29,16 @@
 
 
 class Comparison(NamedTuple):
-    """What was seen at a higher limit, to compare with what the lowered limit brings."""
+    """What was seen at a higher limit, to compare with what the lowered limit brings.
+
+    With ``checks_baseline`` the limit is lowered until latency no longer falls, to measure the
+    baseline anew; otherwise only until latency is near the baseline again.
+    """
 
     limit: float
     latency_s: float
     in_flight: float
+    checks_baseline: bool
 
 
 class LatencyTrend(NamedTuple):
@@ -46,7 +51,7 @@
     baseline_s: float
     window: LatencyWindow
     comparison: Comparison | None
-    windows_since_comparison: int
+    windows_until_check: int
 
 
 class AimdLimit(NamedTuple):
@@ -59,7 +64,7 @@
 
 
 class GradientLimit(NamedTuple):
-    """Grows by its square root per window and shrinks by the ratio of baseline to latency."""
+    """Grows and shrinks by the ratio of baseline to latency."""
 
     limit: float
     minimum: int
--- a/src/jacinthsail/internal/queries/limits.py
+++ b/src/jacinthsail/internal/queries/limits.py
@@ -48,9 +48,13 @@
 # A smaller step could not be told from the variation of window means.
 COMPARISON_FACTOR = 0.7
 
-# A baseline that was learned while there was a queue is too high; a comparison from time to time
+# A baseline that was learned while there was a queue is too high; checking it from time to time
 # corrects it and costs about 1% of throughput.
-WINDOWS_BETWEEN_COMPARISONS = 64
+WINDOWS_BETWEEN_CHECKS = 64
+
+# A higher baseline that was found while latency was still rising may be wrong; this is long enough
+# for the queue that the target had at that time to reach its final length.
+WINDOWS_BEFORE_RECHECK = 4
 
 # How far the baseline moves towards a lower latency, and towards any latency while the limit is not
 # in use.
@@ -61,6 +65,11 @@
 STRONGEST_DECREASE = 0.5
 
 
+# Near the baseline there is no queue, so a cold start reaches four times its initial limit in four
+# windows; above it the limit grows by its square root.
+NO_QUEUE_RATIO = 0.8
+FASTEST_GROWTH = 1.5
+
 AdaptiveLimit = AimdLimit | GradientLimit
 
 
@@ -73,9 +82,9 @@
 
 
 class Steps(NamedTuple):
-    """How a kind of limiter grows and shrinks."""
+    """How a kind of limiter grows and shrinks, from the limit and baseline divided by latency."""
 
-    grown: Callable[[float], float]
+    grown: Callable[[float, float], float]
     shrunk: Callable[[float, float], float]
 
 
@@ -85,6 +94,7 @@
     limit: float
     baseline_s: float
     comparison: Comparison | None
+    windows_until_check: int
 
 
 @singledispatch
@@ -116,7 +126,7 @@
 
 
 def _new_trend(now: float) -> LatencyTrend:
-    return LatencyTrend(0.0, _new_window(now), None, 0)
+    return LatencyTrend(0.0, _new_window(now), None, WINDOWS_BETWEEN_CHECKS)
 
 
 def _new_window(now: float) -> LatencyWindow:
@@ -165,7 +175,7 @@
     return _adaptive_after(limiter, _GRADIENT_STEPS, sample, now)
 
 
-def _grown_by_one(limit: float) -> float:
+def _grown_by_one(limit: float, latency_ratio: float) -> float:
     return limit + 1
 
 
@@ -173,7 +183,9 @@
     return limit * COMPARISON_FACTOR
 
 
-def _grown_by_root(limit: float) -> float:
+def _grown_by_ratio(limit: float, latency_ratio: float) -> float:
+    if latency_ratio >= NO_QUEUE_RATIO:
+        return limit * FASTEST_GROWTH
     return limit + sqrt(limit)
 
 
@@ -182,7 +194,7 @@
 
 
 _AIMD_STEPS = Steps(_grown_by_one, _shrunk_by_factor)
-_GRADIENT_STEPS = Steps(_grown_by_root, _shrunk_by_ratio)
+_GRADIENT_STEPS = Steps(_grown_by_ratio, _shrunk_by_ratio)
 
 
 def _adaptive_after(
@@ -190,17 +202,30 @@
 ) -> AdaptiveLimit:
     trend = limiter.trend
     window = window_after(trend.window, sample, now)
-    if window.calls < max(MIN_WINDOW_CALLS, limiter.limit):
+    if window.calls < calls_in_window(limiter):
         return limiter._replace(trend=trend._replace(window=window))
     step = step_after_window(limiter, steps, means_of(window))
     limit = min(float(limiter.maximum), max(float(limiter.minimum), step.limit))
-    return limiter._replace(limit=limit, trend=_trend_after(trend, step, now))
+    return limiter._replace(limit=limit, trend=_trend_after(trend, limiter.limit, step, now))
+
 
+def calls_in_window(limiter: AdaptiveLimit) -> float:
+    """Return how many calls make a complete window.
+
+    The first calls to finish after a change are the shortest ones, so a comparison takes two rounds
+    of the calls in flight.
+    """
+    calls = max(MIN_WINDOW_CALLS, limiter.limit)
+    return calls if limiter.trend.comparison is None else 2 * calls
 
-def _trend_after(trend: LatencyTrend, step: LimitStep, now: float) -> LatencyTrend:
-    compares = step.comparison is not None or trend.comparison is not None
-    windows = 0 if compares else trend.windows_since_comparison + 1
-    return LatencyTrend(step.baseline_s, _new_window(now), step.comparison, windows)
+
+def _trend_after(trend: LatencyTrend, limit: float, step: LimitStep, now: float) -> LatencyTrend:
+    # Calls that started at a lower limit met no longer queue than those that start now.
+    has_grown = step.comparison is None and trend.comparison is None and step.limit >= limit
+    since = trend.window.since if has_grown else now
+    return LatencyTrend(
+        step.baseline_s, _new_window(since), step.comparison, step.windows_until_check
+    )
 
 
 def window_after(window: LatencyWindow, sample: Sample, now: float) -> LatencyWindow:
@@ -236,28 +261,43 @@
     """Return the limit and the baseline after a complete window."""
     limit = limiter.limit
     trend = limiter.trend
+    windows = trend.windows_until_check - 1
     baseline_s = baseline_after(limiter, means)
     if means.overload_share > OVERLOAD_SHARE:
-        return LimitStep(steps.shrunk(limit, 1 - means.overload_share), baseline_s, None)
+        return LimitStep(steps.shrunk(limit, 1 - means.overload_share), baseline_s, None, windows)
     if means.in_flight < USED_SHARE * int(limit):
         restored = trend.comparison.limit if trend.comparison is not None else limit
-        return LimitStep(restored, baseline_s, None)
+        return LimitStep(restored, baseline_s, None, windows)
     if trend.comparison is not None:
-        return _step_after_comparison(limit, trend.comparison, means)
+        return _step_after_comparison(limiter, trend.comparison, means)
+    latency_ratio = baseline_s / means.latency_s if means.latency_s else 1.0
     is_at_minimum = int(limit) <= limiter.minimum
-    has_risen = means.latency_s > LATENCY_TOLERANCE * baseline_s
-    is_due = trend.windows_since_comparison >= WINDOWS_BETWEEN_COMPARISONS
-    if (has_risen or is_due) and means.latency_s and not is_at_minimum:
-        comparison = Comparison(limit, means.latency_s, means.in_flight)
-        return LimitStep(steps.shrunk(limit, baseline_s / means.latency_s), baseline_s, comparison)
-    return LimitStep(steps.grown(limit), baseline_s, None)
+    is_due = windows <= 0
+    if (is_due or has_risen(means, baseline_s)) and not is_at_minimum:
+        comparison = Comparison(limit, means.latency_s, means.in_flight, is_due)
+        lowered = steps.shrunk(limit, latency_ratio)
+        return LimitStep(lowered, baseline_s, comparison, windows)
+    return LimitStep(steps.grown(limit, latency_ratio), baseline_s, None, windows)
 
 
-def _step_after_comparison(limit: float, before: Comparison, means: WindowMeans) -> LimitStep:
+def _step_after_comparison(
+    limiter: AdaptiveLimit, before: Comparison, means: WindowMeans
+) -> LimitStep:
     if not is_queue_at_target(before, means):
-        return LimitStep(before.limit, means.latency_s, None)
-    comparison = Comparison(limit, means.latency_s, means.in_flight)
-    return LimitStep(limit * COMPARISON_FACTOR, means.latency_s, comparison)
+        windows = WINDOWS_BETWEEN_CHECKS if before.checks_baseline else WINDOWS_BEFORE_RECHECK
+        return LimitStep(before.limit, means.latency_s, None, windows)
+    limit = limiter.limit
+    windows = limiter.trend.windows_until_check - 1
+    baseline_s = baseline_after(limiter, means)
+    if not before.checks_baseline and not has_risen(means, baseline_s):
+        return LimitStep(limit, baseline_s, None, windows)
+    comparison = Comparison(limit, means.latency_s, means.in_flight, before.checks_baseline)
+    return LimitStep(limit * COMPARISON_FACTOR, baseline_s, comparison, windows)
+
+
+def has_risen(means: WindowMeans, baseline_s: float) -> bool:
+    """Tell whether latency is higher than the variation of window means explains."""
+    return means.latency_s > LATENCY_TOLERANCE * baseline_s
 
 
 def is_queue_at_target(before: Comparison, means: WindowMeans) -> bool:
--- /dev/null
+++ b/tests/common/admission_events.py
@@ -0,0 +1,102 @@
+"""Drives the admission decisions in virtual time, as the gate does on the loop."""
+
+from typing import NamedTuple, TypedDict
+
+from jacinthsail.internal.commands.admission import (
+    enqueue_call,
+    finish_call,
+    observe_queue,
+    remove_queued,
+    start_call,
+)
+from jacinthsail.internal.model.admission import (
+    AdmissionState,
+    AdmitByEviction,
+    FixedLimit,
+    QueuedCall,
+    Refuse,
+)
+from jacinthsail.internal.model.calls import CallHead, Reason
+from jacinthsail.internal.queries.admission import (
+    decide_admission,
+    is_expired,
+    next_to_start,
+    starts_at_once,
+)
+from jacinthsail.internal.queries.initial import initial_admission
+
+
+class RefusedCall(NamedTuple):
+    """A call that was not run, and the ranks that waited at that time."""
+
+    head: CallHead
+    reason: Reason
+    waiting: tuple[CallHead, ...]
+
+
+class Run(TypedDict):
+    """Admission state with a record of what became of each call."""
+
+    admission: AdmissionState
+    started: list[QueuedCall]
+    refused: list[RefusedCall]
+
+
+def new_run(limit=2, queue_length=4, disabled=frozenset()):
+    """Return a run in front of a target with a fixed limit."""
+    admission = initial_admission(0.0, disabled)
+    admission["limiter"] = FixedLimit(limit)
+    admission["queue_length"] = queue_length
+    return Run(admission=admission, started=[], refused=[])
+
+
+def waiting_heads(run):
+    """Return the heads of the calls that wait, in the order of the queue."""
+    return tuple(queued.head for queued in run["admission"]["queue"])
+
+
+def refuse(run, head, reason):
+    """Record that a call was not run."""
+    run["refused"].append(RefusedCall(head, reason, waiting_heads(run)))
+
+
+def arrive(run, head, now):
+    """Decide on an arriving call; return the decision."""
+    admission = run["admission"]
+    observe_queue(admission, now)
+    decision = decide_admission(admission, head, now)
+    if isinstance(decision, Refuse):
+        refuse(run, head, decision.reason)
+        return decision
+    if isinstance(decision, AdmitByEviction):
+        remove_queued(admission, decision.victim)
+        refuse(run, decision.victim.head, Reason.EVICTED)
+    queued = QueuedCall(admission["next_ticket"], head, now)
+    needs_no_place = starts_at_once(admission)
+    enqueue_call(admission, queued)
+    if needs_no_place:
+        start_call(admission, queued, now)
+        run["started"].append(queued)
+    return decision
+
+
+def start_waiting(run, now):
+    """Start queued calls while there is room."""
+    admission = run["admission"]
+    while True:
+        queued = next_to_start(admission, now)
+        if queued is None:
+            return
+        if is_expired(admission, queued, now):
+            remove_queued(admission, queued)
+            refuse(run, queued.head, Reason.DEADLINE_EXPIRED)
+            continue
+        start_call(admission, queued, now)
+        run["started"].append(queued)
+
+
+def finish(run, queued, sample, now):
+    """Finish a call and start those that fit now."""
+    finish_call(run["admission"], queued, sample, now)
+    start_waiting(run, now)
+    observe_queue(run["admission"], now)
--- /dev/null
+++ b/tests/fast/test_limiters_compared.py
@@ -0,0 +1,44 @@
+"""Guards how the kinds of limiter behave on the same load; see ``docs/decisions.md``."""
+
+import unittest
+
+from tests.common.compare_limiters import SLOTS, compare
+
+ADAPTIVE = ("aimd", "gradient")
+
+
+class LimitersComparedTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.results = compare()
+
+    def test_queue_at_the_target_shrinks_the_limit(self):
+        """Calls that queue at the target wait where no importance orders them."""
+        fixed = self.results["fixed"]["4 of 40 slots"]
+        for kind in ADAPTIVE:
+            result = self.results[kind]["4 of 40 slots"]
+            with self.subTest(kind=kind):
+                self.assertLess(result.last_limit, SLOTS // 2)
+                self.assertLess(result.mean_latency_s, 0.6 * fixed.mean_latency_s)
+                self.assertLess(result.wasted_share, fixed.wasted_share)
+
+    def test_fivefold_slower_target_does_not_collapse_the_limit(self):
+        """A slow target with free slots needs more calls in flight, not fewer."""
+        for kind in ADAPTIVE:
+            result = self.results[kind]["five times slower"]
+            with self.subTest(kind=kind):
+                self.assertGreaterEqual(result.lowest_limit, SLOTS // 4)
+                self.assertGreater(result.last_limit, 0.9 * SLOTS)
+
+    def test_limit_returns_after_the_trigger(self):
+        """A limiter that stays low after a fault has ended keeps the overload going."""
+        for kind in ADAPTIVE:
+            for phase in ("slots back", "fast again"):
+                with self.subTest(kind=kind, phase=phase):
+                    self.assertGreater(self.results[kind][phase].last_limit, 0.9 * SLOTS)
+
+    def test_gradient_uses_the_target(self):
+        """Limiting must not cost the capacity that it protects."""
+        for phase in ("cold start", "4 of 40 slots", "five times slower", "fast again"):
+            with self.subTest(phase=phase):
+                self.assertGreater(self.results["gradient"][phase].useful_share, 0.85)
