--- /dev/null
+++ b/tests/fast/test_early_refusal.py
@@ -0,0 +1,106 @@
+"""Guards the refusal of calls that every candidate would refuse."""
+
+import unittest
+from random import Random
+
+from jacinthsail.internal.commands.peers import record_heartbeat, record_hello, record_threshold
+from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.document import (
+    ClassPolicy,
+    Execution,
+    FixedLimitPolicy,
+    Section,
+    SpillOver,
+)
+from jacinthsail.internal.model.membership import VmEntry, VmList, VmStatus
+from jacinthsail.internal.model.messages import Heartbeat, Hello
+from jacinthsail.internal.model.routing import Refused, ToPeer
+from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
+from jacinthsail.internal.queries.initial import initial_state
+from jacinthsail.internal.queries.routing import THRESHOLD_VALID_S, decide_route
+from tests.common.checking import call_head
+from tests.common.fake_target import service_policy_with
+
+NOWHERE = Endpoint("127.0.0.1", 1)
+PEERS = ("drafts-1", "drafts-2")
+ALL_TRIES = 30
+
+
+def entry_state(disabled=frozenset()):
+    """Return the state of a billing node that knows two drafts nodes."""
+    settings = NodeSettings(
+        vm="billing-1",
+        failure_domain="manila",
+        region="luzon",
+        service="billing",
+        callers=NOWHERE,
+        relay=NOWHERE,
+        operators=NOWHERE,
+        target=NOWHERE,
+        platform=NOWHERE,
+        cross_region_bytes_per_s=1,
+        ledger_entries=1,
+        log_buffer_lines=100,
+        disabled=disabled,
+    )
+    state = initial_state(settings, "i", 0.0, 0)
+    view = ClassPolicy("view", 1, Execution.REPEATABLE, 2000, 2, SpillOver.REGION)
+    service = service_policy_with(FixedLimitPolicy(1))._replace(classes={"view": view})
+    state["store"]["sections"]["section/drafts"] = Section("s", "o", 1, "d", {"drafts": service})
+    entries = []
+    for vm in PEERS:
+        live = VmStatus.LIVE
+        entries.append(VmEntry(vm, "127.0.0.1", 1, 2, "manila", "luzon", "drafts", live, 0))
+        record_hello(state["peers"], Hello(vm, "i", "manila", "drafts"), 0.0)
+    state["store"]["vm_lists"]["vms/manila"] = VmList("manila", 1, 0, tuple(entries))
+    return state
+
+
+def routes(state, head, now):
+    return {decide_route(state, head, frozenset(), now, Random(n)) for n in range(ALL_TRIES)}
+
+
+class EarlyRefusalTest(unittest.TestCase):
+    def test_call_below_every_threshold_is_refused_at_the_entry(self):
+        """Relaying a call that will be refused costs both nodes and the link for nothing."""
+        state = entry_state()
+        for vm in PEERS:
+            record_threshold(state["peers"][vm], 500, 1.0)
+        self.assertEqual(
+            routes(state, call_head(importance=1), 1.0), {Refused(Reason.BELOW_EVERY_THRESHOLD)}
+        )
+        for route in routes(state, call_head(importance=6), 1.0):
+            self.assertIsInstance(route, ToPeer)
+
+    def test_candidate_that_takes_the_call_is_chosen(self):
+        """One loaded node must not keep calls from another that has room."""
+        state = entry_state()
+        record_threshold(state["peers"]["drafts-1"], 500, 1.0)
+        chosen = {route.entry.vm for route in routes(state, call_head(importance=1), 1.0)}
+        self.assertEqual(chosen, {"drafts-2"})
+
+    def test_old_threshold_is_not_believed(self):
+        """A peer that gets no calls cannot say that it has room again."""
+        state = entry_state()
+        for vm in PEERS:
+            heartbeat = Heartbeat(0, 0, threshold=500, draining=False)
+            record_heartbeat(state["peers"][vm], heartbeat, 1.0)
+        now = 1.0 + THRESHOLD_VALID_S
+        head = call_head(importance=1)
+        self.assertEqual(routes(state, head, now), {Refused(Reason.BELOW_EVERY_THRESHOLD)})
+        for route in routes(state, head, now + 0.01):
+            self.assertIsInstance(route, ToPeer)
+
+    def test_without_importance_thresholds_are_ignored(self):
+        """The control of scenarios on importance must relay what importance would refuse."""
+        state = entry_state(frozenset({Mechanism.IMPORTANCE}))
+        for vm in PEERS:
+            record_threshold(state["peers"][vm], 500, 1.0)
+        for route in routes(state, call_head(importance=1), 1.0):
+            self.assertIsInstance(route, ToPeer)
+
+    def test_no_candidate_at_all_is_told_apart(self):
+        """An operator must see whether a service is overloaded or gone."""
+        state = entry_state()
+        route = decide_route(state, call_head(), frozenset(PEERS), 1.0, Random(1))
+        self.assertEqual(route, Refused(Reason.NO_TARGET))
