--- a/src/jacinthsail/internal/commands/admission.py
+++ b/src/jacinthsail/internal/commands/admission.py
@@ -61,6 +61,9 @@
     if sample is None:
         return
     admission["limiter"] = limiter_after(admission["limiter"], sample, now)
+    if sample.timed_out:
+        _learn_latency(admission, max(sample.latency_s, admission["mean_latency_s"]))
+        return
     if not sample.overloaded:
         _learn_latency(admission, sample.latency_s)
 
--- a/src/jacinthsail/internal/model/admission.py
+++ b/src/jacinthsail/internal/model/admission.py
@@ -45,11 +45,13 @@
     """What a limiter knows of the target's latency.
 
     ``baseline_s`` is the latency without a queue at the target, 0 when it is not known yet.
-    ``comparison`` is set while a lowered limit is tried out.
+    ``comparison`` is set while a lowered limit is tried out. With ``held`` the limit was
+    kept for the present window in order to measure latency before a comparison.
     """
 
     baseline_s: float
     window: LatencyWindow
+    held: bool
     comparison: Comparison | None
     windows_until_check: int
 
@@ -76,11 +78,15 @@
 
 
 class Sample(NamedTuple):
-    """What one finished call tells the limiter; ``in_flight`` counts the call itself."""
+    """What one finished call tells the limiter; ``in_flight`` counts the call itself.
+
+    A call that timed out would have taken longer than ``latency_s``.
+    """
 
     latency_s: float
     in_flight: int
     overloaded: bool
+    timed_out: bool = False
 
 
 class QueuedCall(NamedTuple):
--- a/src/jacinthsail/internal/queries/limits.py
+++ b/src/jacinthsail/internal/queries/limits.py
@@ -21,7 +21,7 @@
     Limiter,
     Sample,
 )
-from jacinthsail.internal.model.calls import Answered, Outcome
+from jacinthsail.internal.model.calls import Answered, Outcome, Reason, Unknown
 from jacinthsail.internal.model.document import (
     AimdLimitPolicy,
     FixedLimitPolicy,
@@ -33,8 +33,12 @@
 # HTTP statuses by which a target says that it has too much to do.
 OVERLOAD_STATUSES = frozenset({429, 503})
 
+# A false alarm while the limit grows only holds it for a window, so few calls suffice; a low limit
+# would otherwise take seconds to grow.
+MIN_WINDOW_CALLS = 10
+
 # Means over fewer calls vary too much to be compared.
-MIN_WINDOW_CALLS = 20
+MIN_COMPARED_CALLS = 20
 
 # Below this share of the limit the calls in flight say nothing of what the limit does.
 USED_SHARE = 0.8
@@ -82,19 +86,29 @@
 
 
 class Steps(NamedTuple):
-    """How a kind of limiter grows and shrinks, from the limit and baseline divided by latency."""
+    """How a kind of limiter moves from its present limit.
+
+    ``grown`` and ``shrunk`` also take baseline divided by latency, ``relieved`` the share of calls
+    that met an overloaded target.
+    """
 
     grown: Callable[[float, float], float]
     shrunk: Callable[[float, float], float]
+    relieved: Callable[[float, float], float]
 
 
 class LimitStep(NamedTuple):
-    """The limit and what is known of the latency after a complete window."""
+    """The limit and what is known of the latency after a complete window.
+
+    A comparison is preceded by one window at a held limit: while the limit grows or the target has
+    just slowed down, latency is still rising and would make any lower limit look useless.
+    """
 
     limit: float
     baseline_s: float
     comparison: Comparison | None
     windows_until_check: int
+    held: bool = False
 
 
 @singledispatch
@@ -126,7 +140,7 @@
 
 
 def _new_trend(now: float) -> LatencyTrend:
-    return LatencyTrend(0.0, _new_window(now), None, WINDOWS_BETWEEN_CHECKS)
+    return LatencyTrend(0.0, _new_window(now), False, None, WINDOWS_BETWEEN_CHECKS)
 
 
 def _new_window(now: float) -> LatencyWindow:
@@ -193,20 +207,24 @@
     return limit * min(COMPARISON_FACTOR, max(STRONGEST_DECREASE, latency_ratio))
 
 
-_AIMD_STEPS = Steps(_grown_by_one, _shrunk_by_factor)
-_GRADIENT_STEPS = Steps(_grown_by_ratio, _shrunk_by_ratio)
+def _relieved_of_share(limit: float, overload_share: float) -> float:
+    return limit * max(STRONGEST_DECREASE, 1 - overload_share)
+
+
+_AIMD_STEPS = Steps(_grown_by_one, _shrunk_by_factor, _shrunk_by_factor)
+_GRADIENT_STEPS = Steps(_grown_by_ratio, _shrunk_by_ratio, _relieved_of_share)
 
 
 def _adaptive_after(
     limiter: AdaptiveLimit, steps: Steps, sample: Sample, now: float
 ) -> AdaptiveLimit:
     trend = limiter.trend
-    window = window_after(trend.window, sample, now)
+    window = window_after(trend, sample, now)
     if window.calls < calls_in_window(limiter):
         return limiter._replace(trend=trend._replace(window=window))
     step = step_after_window(limiter, steps, means_of(window))
     limit = min(float(limiter.maximum), max(float(limiter.minimum), step.limit))
-    return limiter._replace(limit=limit, trend=_trend_after(trend, limiter.limit, step, now))
+    return limiter._replace(limit=limit, trend=_trend_after(limiter, limit, step, now))
 
 
 def calls_in_window(limiter: AdaptiveLimit) -> float:
@@ -215,26 +233,40 @@
     The first calls to finish after a change are the shortest ones, so a comparison takes two rounds
     of the calls in flight.
     """
-    calls = max(MIN_WINDOW_CALLS, limiter.limit)
-    return calls if limiter.trend.comparison is None else 2 * calls
+    trend = limiter.trend
+    if trend.comparison is not None:
+        return 2 * max(MIN_COMPARED_CALLS, limiter.limit)
+    if trend.held:
+        return max(MIN_COMPARED_CALLS, limiter.limit)
+    return max(MIN_WINDOW_CALLS, limiter.limit)
 
 
-def _trend_after(trend: LatencyTrend, limit: float, step: LimitStep, now: float) -> LatencyTrend:
-    # Calls that started at a lower limit met no longer queue than those that start now.
-    has_grown = step.comparison is None and trend.comparison is None and step.limit >= limit
+def _trend_after(limiter: AdaptiveLimit, limit: float, step: LimitStep, now: float) -> LatencyTrend:
+    trend = limiter.trend
+    # Calls that started at a lower limit met no longer queue than those that start now, so growth
+    # need not wait for them to finish.
+    has_grown = trend.comparison is None and limit > limiter.limit
     since = trend.window.since if has_grown else now
     return LatencyTrend(
-        step.baseline_s, _new_window(since), step.comparison, step.windows_until_check
+        baseline_s=step.baseline_s,
+        window=_new_window(since),
+        held=step.held,
+        comparison=step.comparison,
+        windows_until_check=step.windows_until_check,
     )
 
 
-def window_after(window: LatencyWindow, sample: Sample, now: float) -> LatencyWindow:
+def window_after(trend: LatencyTrend, sample: Sample, now: float) -> LatencyWindow:
     """Return the window with one more finished call.
 
-    A refusal by the target takes no time, so its latency is left out of the mean.
+    A refusal by the target takes no time, so its latency is left out of the mean. A call that timed
+    out sooner than calls usually finish had too little time, which says nothing of the target.
     """
+    window = trend.window
     if now - sample.latency_s < window.since:
         return window
+    if sample.timed_out and sample.latency_s < LATENCY_TOLERANCE * trend.baseline_s:
+        return window
     if sample.overloaded:
         return window._replace(
             calls=window.calls + 1,
@@ -264,7 +296,8 @@
     windows = trend.windows_until_check - 1
     baseline_s = baseline_after(limiter, means)
     if means.overload_share > OVERLOAD_SHARE:
-        return LimitStep(steps.shrunk(limit, 1 - means.overload_share), baseline_s, None, windows)
+        lowered = steps.relieved(limit, means.overload_share)
+        return LimitStep(lowered, baseline_s, None, windows)
     if means.in_flight < USED_SHARE * int(limit):
         restored = trend.comparison.limit if trend.comparison is not None else limit
         return LimitStep(restored, baseline_s, None, windows)
@@ -274,6 +307,8 @@
     is_at_minimum = int(limit) <= limiter.minimum
     is_due = windows <= 0
     if (is_due or has_risen(means, baseline_s)) and not is_at_minimum:
+        if not trend.held:
+            return LimitStep(limit, baseline_s, None, windows, held=True)
         comparison = Comparison(limit, means.latency_s, means.in_flight, is_due)
         lowered = steps.shrunk(limit, latency_ratio)
         return LimitStep(lowered, baseline_s, comparison, windows)
@@ -334,8 +369,19 @@
     return outcome.status in OVERLOAD_STATUSES
 
 
+@singledispatch
+def is_timeout(outcome: object) -> bool:
+    """Tell whether a call ended at its deadline without an answer."""
+    return False
+
+
+@is_timeout.register
+def _(outcome: Unknown) -> bool:
+    return outcome.reason is Reason.DEADLINE_EXPIRED
+
+
 def sample_of(outcome: Outcome | None, latency_s: float, in_flight: int) -> Sample | None:
     """Return what a finished call tells the limiter; a cancelled call has no outcome."""
     if outcome is None:
         return None
-    return Sample(latency_s, in_flight, is_overload(outcome))
+    return Sample(latency_s, in_flight, is_overload(outcome), is_timeout(outcome))
--- a/tests/common/admission_events.py
+++ b/tests/common/admission_events.py
@@ -1,5 +1,6 @@
 """Drives the admission decisions in virtual time, as the gate does on the loop."""
 
+from functools import singledispatch
 from typing import NamedTuple, TypedDict
 
 from jacinthsail.internal.commands.admission import (
@@ -11,6 +12,7 @@
 )
 from jacinthsail.internal.model.admission import (
     AdmissionState,
+    Admit,
     AdmitByEviction,
     FixedLimit,
     QueuedCall,
@@ -65,19 +67,38 @@
     admission = run["admission"]
     observe_queue(admission, now)
     decision = decide_admission(admission, head, now)
-    if isinstance(decision, Refuse):
-        refuse(run, head, decision.reason)
-        return decision
-    if isinstance(decision, AdmitByEviction):
-        remove_queued(admission, decision.victim)
-        refuse(run, decision.victim.head, Reason.EVICTED)
+    apply(decision, run, head, now)
+    return decision
+
+
+@singledispatch
+def apply(decision, run, head, now):
+    """Do what was decided about an arriving call."""
+    raise NotImplementedError(f"no rule for {type(decision).__name__}; register one")
+
+
+@apply.register
+def _(decision: Admit, run, head, now):
+    admission = run["admission"]
     queued = QueuedCall(admission["next_ticket"], head, now)
     needs_no_place = starts_at_once(admission)
     enqueue_call(admission, queued)
     if needs_no_place:
         start_call(admission, queued, now)
         run["started"].append(queued)
-    return decision
+
+
+@apply.register
+def _(decision: AdmitByEviction, run, head, now):
+    admission = run["admission"]
+    remove_queued(admission, decision.victim)
+    refuse(run, decision.victim.head, Reason.EVICTED)
+    enqueue_call(admission, QueuedCall(admission["next_ticket"], head, now))
+
+
+@apply.register
+def _(decision: Refuse, run, head, now):
+    refuse(run, head, decision.reason)
 
 
 def start_waiting(run, now):
--- a/tests/common/compare_limiters.py
+++ b/tests/common/compare_limiters.py
@@ -25,11 +25,12 @@
     "gradient": GradientLimitPolicy(SLOTS // 4, 1, SLOTS),
 }
 
-# The second phase loses slots, the fourth is five times slower with all slots available.
+# The second phase loses slots, the fifth is five times slower with all slots available.
 PHASES = (
     Phase("cold start", 4.0, SLOTS, 0.05, 3200.0),
     Phase("4 of 40 slots", 12.0, 4, 0.05, 320.0),
-    Phase("slots back", 4.0, SLOTS, 0.05, 3200.0),
+    Phase("slots back", 2.0, SLOTS, 0.05, 3200.0),
+    Phase("2 s later", 2.0, SLOTS, 0.05, 3200.0),
     Phase("five times slower", 10.0, SLOTS, 0.25, 640.0),
     Phase("fast again", 4.0, SLOTS, 0.05, 3200.0),
     Phase("half load", 2.0, SLOTS, 0.05, 400.0),
--- a/tests/common/fake_target.py
+++ b/tests/common/fake_target.py
@@ -116,7 +116,8 @@
     def finish(self, queued, in_time, sent_at):
         self.busy -= 1
         in_flight = len(self.run["admission"]["in_flight"])
-        sample = Sample(self.now - sent_at, in_flight, overloaded=not in_time)
+        late = not in_time
+        sample = Sample(self.now - sent_at, in_flight, overloaded=late, timed_out=late)
         finish(self.run, queued, sample, self.now)
 
     def take_started(self):
--- a/tests/fast/test_admission.py
+++ b/tests/fast/test_admission.py
@@ -185,6 +185,18 @@
         decision = decide_admission(self.admission, call_head(deadline=1.0), 1.0)
         self.assertEqual(decision, Refuse(Reason.DEADLINE_EXPIRED, 0.0))
 
+    def test_mean_latency_grows_with_calls_that_time_out(self):
+        """A mean over the calls that finished would hide that most do not."""
+        queued = self.run_state["started"][0]
+        late = Sample(3.0, 1, overloaded=True, timed_out=True)
+        finish(self.run_state, queued, late, 0.0)
+        self.assertGreater(self.admission["mean_latency_s"], 1.0)
+        queued = self.run_state["started"][-1]
+        before = self.admission["mean_latency_s"]
+        short = Sample(0.001, 1, overloaded=True, timed_out=True)
+        finish(self.run_state, queued, short, 0.0)
+        self.assertEqual(self.admission["mean_latency_s"], before)
+
     def test_without_deadline_drop_expired_calls_start(self):
         """The control of scenarios on deadlines must run what is too late."""
         run = busy_run(disabled=frozenset({Mechanism.DEADLINE_DROP}))
--- a/tests/fast/test_limiters_compared.py
+++ b/tests/fast/test_limiters_compared.py
@@ -33,10 +33,16 @@
     def test_limit_returns_after_the_trigger(self):
         """A limiter that stays low after a fault has ended keeps the overload going."""
         for kind in ADAPTIVE:
-            for phase in ("slots back", "fast again"):
+            for phase in ("2 s later", "fast again"):
                 with self.subTest(kind=kind, phase=phase):
                     self.assertGreater(self.results[kind][phase].last_limit, 0.9 * SLOTS)
 
+    def test_gradient_regains_lost_slots_within_two_seconds(self):
+        """Goodput must be back at 95% of its earlier level 2 s after the trigger has ended."""
+        gradient = self.results["gradient"]["2 s later"]
+        fixed = self.results["fixed"]["2 s later"]
+        self.assertGreaterEqual(gradient.useful_share, 0.95 * fixed.useful_share)
+
     def test_gradient_uses_the_target(self):
         """Limiting must not cost the capacity that it protects."""
         for phase in ("cold start", "4 of 40 slots", "five times slower", "fast again"):
--- a/tests/fast/test_limits.py
+++ b/tests/fast/test_limits.py
@@ -93,6 +93,24 @@
                 limiter = after(new_limiter(policy, 0.0), samples)
                 self.assertGreaterEqual(limit_of(limiter), policy.initial)
 
+    def test_call_with_too_little_time_does_not_lower_the_limit(self):
+        """Deep calls with a few milliseconds left would shut a healthy target down."""
+        for policy in POLICIES:
+            with self.subTest(policy=policy):
+                samples = [Sample(0.05, 20, False)] * 40
+                samples += [Sample(0.005, 20, overloaded=True, timed_out=True)] * 400
+                limiter = after(new_limiter(policy, 0.0), samples)
+                self.assertGreaterEqual(limit_of(limiter), policy.initial)
+
+    def test_calls_that_time_out_late_lower_the_limit(self):
+        """A target that no longer answers in time must not be offered as many calls again."""
+        for policy in POLICIES:
+            with self.subTest(policy=policy):
+                samples = [Sample(0.05, 20, False)] * 40
+                samples += [Sample(0.5, 20, overloaded=True, timed_out=True)] * 400
+                limiter = after(new_limiter(policy, 0.0), samples)
+                self.assertEqual(limit_of(limiter), policy.minimum)
+
     def test_cancelled_call_gives_no_sample(self):
         """The time until a caller gave up is not the target's latency."""
         self.assertIsNone(sample_of(None, 0.001, 3))
