--- a/src/jacinthsail/internal/model/admission.py
+++ b/src/jacinthsail/internal/model/admission.py
@@ -5,6 +5,8 @@
 from sortedcontainers import SortedKeyList
 
 from jacinthsail.internal.model.calls import CallHead, Reason
+from jacinthsail.internal.model.document import LimitPolicy
+from jacinthsail.internal.model.settings import Mechanism
 
 
 class FixedLimit(NamedTuple):
@@ -13,34 +15,78 @@
     limit: int
 
 
+class LatencyWindow(NamedTuple):
+    """Sums over the calls that started since the limit last changed.
+
+    Calls that started earlier met the queue of another limit, so they say nothing of this one.
+    """
+
+    since: float
+    calls: int
+    total_latency_s: float
+    total_in_flight: int
+    overloads: int
+
+
+class Comparison(NamedTuple):
+    """What was seen at a higher limit, to compare with what the lowered limit brings.
+
+    With ``checks_baseline`` the limit is lowered until latency no longer falls, to measure the
+    baseline anew; otherwise only until latency is near the baseline again.
+    """
+
+    limit: float
+    latency_s: float
+    in_flight: float
+    checks_baseline: bool
+
+
+class LatencyTrend(NamedTuple):
+    """What a limiter knows of the target's latency.
+
+    ``baseline_s`` is the latency without a queue at the target, 0 when it is not known yet.
+    ``comparison`` is set while a lowered limit is tried out. With ``held`` the limit was
+    kept for the present window in order to measure latency before a comparison.
+    """
+
+    baseline_s: float
+    window: LatencyWindow
+    held: bool
+    comparison: Comparison | None
+    windows_until_check: int
+
+
 class AimdLimit(NamedTuple):
-    """Grows by one per round of successes and shrinks by a factor on refusal or timeout."""
+    """Grows by one per window and shrinks by a constant factor."""
 
     limit: float
     minimum: int
     maximum: int
-    last_decrease: float
+    trend: LatencyTrend
 
 
 class GradientLimit(NamedTuple):
-    """Follows the ratio of long-term to recent latency."""
+    """Grows and shrinks by the ratio of baseline to latency."""
 
     limit: float
     minimum: int
     maximum: int
-    long_latency_s: float
-    recent_latency_s: float
+    trend: LatencyTrend
 
 
 Limiter = FixedLimit | AimdLimit | GradientLimit
 
 
 class Sample(NamedTuple):
-    """What one finished call tells the limiter."""
+    """What one finished call tells the limiter; ``in_flight`` counts the call itself.
+
+    A call that timed out would have taken longer than ``latency_s``.
+    """
 
     latency_s: float
     in_flight: int
     overloaded: bool
+    timed_out: bool = False
 
 
 class QueuedCall(NamedTuple):
@@ -52,11 +98,18 @@
 
 
 class AdmissionState(TypedDict):
-    """Queue, calls in flight and limiter of the own target."""
+    """Queue, calls in flight and limiter of the own target.
+
+    ``limit_policy`` is the policy that the limiter was made from. ``threshold`` is the lowest rank
+    that is admitted while there is a queue; it follows the shortest time that the queue would have
+    needed to drain since ``window_start``.
+    """
 
+    disabled: frozenset[Mechanism]
     queue: SortedKeyList
     queue_length: int
     in_flight: dict[int, QueuedCall]
+    limit_policy: LimitPolicy | None
     limiter: Limiter
     threshold: int
     window_start: float
