--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -16,6 +16,7 @@
     record_heard,
     record_heartbeat,
     record_hello,
+    record_threshold,
 )
 from jacinthsail.internal.model.calls import Call, CallHead, NotRun, Outcome, Reason, Unknown
 from jacinthsail.internal.model.membership import VmEntry
@@ -36,6 +37,7 @@
 )
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.admission import advertised_threshold
 from jacinthsail.internal.queries.lookup import is_at_most_once, is_same_call
 from jacinthsail.internal.queries.peers import (
     CHECK_S,
@@ -330,7 +332,7 @@
         """Run a relayed call at the own target and reply."""
         outcome = await self._run(request.call)
         connection.last_used = asyncio.get_running_loop().time()
-        threshold = self.node_state["admission"]["threshold"]
+        threshold = advertised_threshold(self.node_state["admission"])
         connection.send(CallReply(request.call_id, outcome, threshold))
 
     async def _run(self, call: Call) -> Outcome:
@@ -403,6 +405,9 @@
 
 @handle_message.register
 def _(message: CallReply, pool: RelayPool, connection: PeerConnection) -> None:
+    peer = pool.node_state["peers"].get(connection.peer_vm)
+    if peer is not None:
+        record_threshold(peer, message.threshold, connection.last_received)
     pending = connection.pending.get(message.call_id)
     if pending is not None and not pending.waiter.done():
         pending.waiter.set_result(message.outcome)
--- a/src/jacinthsail/internal/adapters/target.py
+++ b/src/jacinthsail/internal/adapters/target.py
@@ -20,7 +20,7 @@
 from jacinthsail.internal.commands.leaving import record_health
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Outcome, Reason, Unknown
 from jacinthsail.internal.model.leaving import LeavingState
-from jacinthsail.internal.model.settings import Endpoint, Mechanism
+from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
 
 # A target on the same VM that does not accept within this time has a full accept queue.
 CONNECT_TIMEOUT_S = 1.0
@@ -55,18 +55,14 @@
 
 
 async def call_target(
-    session: aiohttp.ClientSession,
-    endpoint: Endpoint,
-    call: Call,
-    now: float,
-    disabled: frozenset[Mechanism] = frozenset(),
+    session: aiohttp.ClientSession, settings: NodeSettings, call: Call, now: float
 ) -> Outcome:
     """Send the call to the target and return what is known of it afterwards."""
     head = call.head
-    url = _target_url(endpoint, head.service, head.call_class)
+    url = _target_url(settings.target, head.service, head.call_class)
     headers = request_headers(call, now)
     timeout = _timeout_before(head.deadline - now)
-    whole = Mechanism.WHOLE_ANSWERS not in disabled
+    whole = Mechanism.WHOLE_ANSWERS not in settings.disabled
     try:
         async with asyncio.timeout_at(head.deadline):
             async with session.post(
@@ -74,7 +70,7 @@
             ) as response:
                 body = await response.read() if whole else await _read_what_comes(response)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
-        if Mechanism.NOT_RUN_PROOF in disabled:
+        if Mechanism.NOT_RUN_PROOF in settings.disabled:
             return NotRun(Reason.CONNECTION_LOST, head.retries_left)
         return outcome_of_failure(error, head.retries_left)
     retries_left = _integer(response.headers.get(RETRIES_LEFT), head.retries_left)
--- a/src/jacinthsail/internal/queries/peers.py
+++ b/src/jacinthsail/internal/queries/peers.py
@@ -38,6 +38,7 @@
         "incarnation": incarnation,
         "last_heard": now,
         "threshold": 0,
+        "threshold_at": now,
         "draining": False,
         "in_flight": 0,
         "failures": 0,
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -13,6 +13,7 @@
     Superseded,
 )
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.admission import advertised_threshold
 from jacinthsail.internal.queries.documents import parse_section
 from jacinthsail.internal.queries.vm_lists import parse_vm_list
 
@@ -46,4 +47,5 @@
 def heartbeat_of(state: NodeState) -> Heartbeat:
     """Return the heartbeat that tells peers the state of this node."""
     admission = state["admission"]
-    return Heartbeat(0, state["store"]["as_of_ms"], admission["threshold"], admission["draining"])
+    threshold = advertised_threshold(admission)
+    return Heartbeat(0, state["store"]["as_of_ms"], threshold, admission["draining"])
--- a/tests/fast/test_target.py
+++ b/tests/fast/test_target.py
@@ -11,7 +11,6 @@
 from tests.common.loopback import (
     RawServer,
     call_due_in,
-    free_endpoint,
     node_settings,
     start_server,
 )
@@ -31,13 +30,14 @@
     async def call(self, answer, seconds=9, disabled=frozenset()):
         server, endpoint = await start_server(lambda: RawServer(self.accepted, answer=answer))
         self.addCleanup(server.close)
+        settings = node_settings(disabled=disabled, target=endpoint)
         call = call_due_in(seconds)
-        return await call_target(self.session, endpoint, call, call.head.deadline - 9, disabled)
+        return await call_target(self.session, settings, call, call.head.deadline - 9)
 
     async def test_refused_connection_is_not_run(self):
         """A target that does not listen cannot have run the call."""
         call = call_due_in(9)
-        outcome = await call_target(self.session, free_endpoint(), call, call.head.deadline - 9)
+        outcome = await call_target(self.session, node_settings(), call, call.head.deadline - 9)
         self.assertEqual(outcome, NotRun(Reason.TARGET_UNREACHABLE, 2))
 
     async def test_closed_without_an_answer_is_unknown(self):
@@ -81,11 +81,12 @@
 
         server, endpoint = await start_server(lambda: RawServer(self.accepted, answer=answer))
         self.addCleanup(server.close)
+        settings = node_settings(target=endpoint)
         first = call_due_in(0.1)
-        outcome = await call_target(self.session, endpoint, first, first.head.deadline - 0.1)
+        outcome = await call_target(self.session, settings, first, first.head.deadline - 0.1)
         self.assertEqual(outcome, Unknown(Reason.DEADLINE_EXPIRED, 2))
         second = call_due_in(9)
-        outcome = await call_target(self.session, endpoint, second, second.head.deadline - 9)
+        outcome = await call_target(self.session, settings, second, second.head.deadline - 9)
         self.assertEqual(outcome.body, b"body")
         self.assertEqual(len(self.accepted), 2)
 
