Exchange copies of published items between peers

Every node watched the platform, so its reads grew with the fleet, and a node that only peers could reach learned nothing. Look-ups of the request path read indexes instead of scanning every section and list. A call that crosses regions is charged to a byte budget.

--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -38,6 +38,8 @@
         self.next_call_id = 1
         self.peer_vm = ""
         self.last_received = 0.0
+        self.last_frame_bytes = 0
+        self.last_sent_bytes = 0
         self.opened_at = 0.0
         self.serving: dict[int, asyncio.Task[None]] = {}
 
@@ -63,6 +65,7 @@
                 return
             payload = bytes(self.buffer[LENGTH_PREFIX.size : end])
             del self.buffer[:end]
+            self.last_frame_bytes = end
             self._deliver(payload)
 
     def _deliver(self, payload: bytes) -> None:
@@ -91,7 +94,9 @@
     def send(self, message: Message) -> None:
         """Write one message; does nothing on a closed connection."""
         if self.transport is not None:
-            self.transport.write(encode_frame(message))
+            frame = encode_frame(message)
+            self.last_sent_bytes = len(frame)
+            self.transport.write(frame)
 
     def close(self) -> None:
         """Close after what has been written was sent."""
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -62,6 +62,7 @@
     itemCopy :group {
       version @11 :ItemVersion;
       compressedBody @12 :Data;
+      itemAsOfMs @20 :UInt64;
     }
     callRequest :group {
       callId @13 :UInt64;
--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -11,6 +11,7 @@
 
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
 from jacinthsail.internal.adapters.frontend import Frontend
+from jacinthsail.internal.adapters.gossip import Gossip
 from jacinthsail.internal.adapters.operators import OperatorsPort
 from jacinthsail.internal.adapters.platform import PlatformClient
 from jacinthsail.internal.adapters.relay import RelayPool
@@ -48,7 +49,12 @@
         self.relay_pool.serve_own = self.dispatcher.serve_own
         self.frontend = Frontend(self.node_state, self.dispatcher)
         await self.add_runtime_dependency(self.relay_pool)
-        await self.add_runtime_dependency(PlatformClient(self.node_state, self.session))
+        gossip = Gossip(self.node_state, self.relay_pool, Random(f"{incarnation} gossip"))
+        platform = PlatformClient(
+            self.node_state, self.session, Random(f"{incarnation} platform"), gossip.spread
+        )
+        await self.add_runtime_dependency(gossip)
+        await self.add_runtime_dependency(platform)
         await self.add_runtime_dependency(OperatorsPort(self.node_state))
         await self.add_runtime_dependency(self.frontend)
 
--- a/src/jacinthsail/internal/adapters/operators.py
+++ b/src/jacinthsail/internal/adapters/operators.py
@@ -15,6 +15,8 @@
 IN_FLIGHT = Gauge("jacinthsail_in_flight", "Calls in flight to the own target")
 QUEUED = Gauge("jacinthsail_queued", "Calls that wait for the own target")
 LIMIT = Gauge("jacinthsail_limit", "Calls that may be in flight to the own target")
+CONTROL_BYTES = Gauge("jacinthsail_control_bytes", "Bytes of control messages since the start")
+PLATFORM_READS = Gauge("jacinthsail_platform_reads", "Reads of the platform since the start")
 
 
 class OperatorsPort(mode.Service):
@@ -41,7 +43,9 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one HTTP request."""
         if request.path == "/status":
-            return web.json_response(node_status(self.node_state))
+            return web.json_response(
+                node_status(self.node_state, asyncio.get_running_loop().time())
+            )
         if request.path == "/metrics":
             return self._metrics(request)
         return web.Response(status=404, text="GET /status or /metrics\n")
@@ -51,5 +55,8 @@
         IN_FLIGHT.set({}, len(admission["in_flight"]))
         QUEUED.set({}, len(admission["queue"]))
         LIMIT.set({}, limit_of(admission["limiter"]))
+        PLATFORM_READS.set({}, self.node_state["platform"]["reads"])
+        for direction, size in self.node_state["control"].items():
+            CONTROL_BYTES.set({"direction": direction}, size)
         content, response_headers = render(REGISTRY, request.headers.getall("Accept", []))
         return web.Response(body=content, headers=response_headers)
--- a/src/jacinthsail/internal/adapters/platform.py
+++ b/src/jacinthsail/internal/adapters/platform.py
@@ -1,62 +1,160 @@
 """Reads and watches the platform's configuration service."""
 
 import asyncio
+from collections.abc import Callable
+from functools import singledispatch
+from random import Random
 from typing import Any
 
 import aiohttp
 import mode
 
-from jacinthsail.internal.commands.admission import apply_service_policy
-from jacinthsail.internal.commands.replication import accept_item
-from jacinthsail.internal.model.replication import Item
+from jacinthsail.internal.commands.replication import (
+    confirm_versions,
+    count_platform_read,
+    install_item,
+    record_platform_change,
+    record_platform_failure,
+    record_stale_platform,
+)
+from jacinthsail.internal.model.replication import (
+    AwaitPeers,
+    Item,
+    PlatformChange,
+    ReadPlatform,
+    WatchPlatform,
+)
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.documents import digest_of
-from jacinthsail.internal.queries.lookup import service_policy
-from jacinthsail.internal.queries.replication import decide_item
+from jacinthsail.internal.queries.replication import (
+    decide_item,
+    decide_platform_action,
+    draw_silence,
+    is_caught_up,
+    is_news,
+    is_stale,
+    names_to_read,
+    retry_delay,
+)
 
-WATCH_TIMEOUT_S = 10.0
-RETRY_S = 0.5
+# Each answer confirms the versions in force. Keys need a confirmation younger than 15 s on every
+# node, and it travels over several heartbeats of 2 s.
+WATCH_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 5.0
+
+# A node that waits for its peers looks this often whether it has become a watcher.
+ROLE_CHECK_S = 2.0
+
+OnNews = Callable[[Item], None]
 
 
 class PlatformClient(mode.Service):
-    """Keeps the copies of published items up to date."""
+    """Keeps the copies of published items up to date from the platform."""
 
-    def __init__(self, state: NodeState, session: aiohttp.ClientSession, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        session: aiohttp.ClientSession,
+        random: Random,
+        on_news: OnNews,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(**kwargs)
         self.node_state = state
         self.session = session
+        self.random = random
+        self.on_news = on_news
         platform = state["settings"].platform
         self.base_url = f"http://{platform.host}:{platform.port}/v1"
-        self.revision = 0
 
     @mode.Service.task
     async def follow(self) -> None:
-        """Read all items, then wait for changes."""
+        """Watch the platform, read it once, or wait for peers, as the queries decide."""
+        loop = asyncio.get_running_loop()
+        silence_s = draw_silence(self.random)
+        confirmed_at = self.node_state["store"]["confirmed_at"]
         while not self.should_stop:
-            try:
-                await self._watch_once()
-            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
-                await self.sleep(RETRY_S)
-
-    async def _watch_once(self) -> None:
-        url = f"{self.base_url}/watch?after={self.revision}&timeout={WATCH_TIMEOUT_S}"
-        async with asyncio.timeout(2 * WATCH_TIMEOUT_S):
-            async with self.session.get(url) as response:
-                change = await response.json()
-        for version in change["items"]:
-            await self._fetch(version["name"])
-        self.revision = change["revision"]
-
-    async def _fetch(self, name: str) -> None:
-        async with self.session.get(f"{self.base_url}/items/{name}") as response:
+            if self.node_state["store"]["confirmed_at"] != confirmed_at:
+                confirmed_at = self.node_state["store"]["confirmed_at"]
+                silence_s = draw_silence(self.random)
+            action = decide_platform_action(self.node_state, silence_s, loop.time())
+            await perform(action, self)
+
+    async def read_changes(self, wait_s: float) -> None:
+        """Read what changed, waiting up to ``wait_s`` for it; delays after a failure."""
+        platform = self.node_state["platform"]
+        try:
+            change = await self._changes(wait_s)
+            if is_stale(self.node_state["store"], platform, change):
+                record_stale_platform(platform)
+                # What an old platform holds is still news to a node that holds less.
+                await self._read_items(change)
+            else:
+                await self._take_change(change)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
+            record_platform_failure(platform)
+        if platform["failures"] > 0:
+            await self.sleep(retry_delay(platform["failures"], self.random))
+
+    async def _changes(self, wait_s: float) -> PlatformChange:
+        count_platform_read(self.node_state["platform"], asyncio.get_running_loop().time())
+        after = self.node_state["platform"]["revision"]
+        url = f"{self.base_url}/watch?after={after}&timeout={wait_s}"
+        async with asyncio.timeout(wait_s + READ_TIMEOUT_S), self.session.get(url) as response:
+            response.raise_for_status()
+            table = await response.json()
+        versions = tuple((str(item["name"]), int(item["version"])) for item in table["items"])
+        return PlatformChange(int(table["revision"]), int(table["as_of_ms"]), versions)
+
+    async def _take_change(self, change: PlatformChange) -> None:
+        await self._read_items(change)
+        store = self.node_state["store"]
+        if not is_caught_up(store, change):
+            # A replica of the platform served an item older than the list of changes promised.
+            record_stale_platform(self.node_state["platform"])
+            return
+        now = asyncio.get_running_loop().time()
+        record_platform_change(self.node_state["platform"], change.revision)
+        confirm_versions(store, change.as_of_ms, now)
+
+    async def _read_items(self, change: PlatformChange) -> None:
+        for name in names_to_read(self.node_state["store"], change):
+            await self._read_item(name)
+
+    async def _read_item(self, name: str) -> None:
+        count_platform_read(self.node_state["platform"], asyncio.get_running_loop().time())
+        url = f"{self.base_url}/items/{name}"
+        async with asyncio.timeout(READ_TIMEOUT_S), self.session.get(url) as response:
+            response.raise_for_status()
             body = await response.read()
             version = int(response.headers["Item-Version"])
             as_of_ms = int(response.headers["As-Of-Ms"])
-        item = Item(name, version, digest_of(body), body)
-        now = asyncio.get_running_loop().time()
-        accept_item(
-            self.node_state["store"], decide_item(self.node_state["store"], item, as_of_ms), now
-        )
-        policy = service_policy(self.node_state["store"], self.node_state["settings"].service)
-        if policy is not None:
-            apply_service_policy(self.node_state["admission"], policy)
+        item = Item(name, version, digest_of(body), body, as_of_ms)
+        disabled = self.node_state["settings"].disabled
+        decision = decide_item(self.node_state["store"], item, disabled)
+        install_item(self.node_state, decision, asyncio.get_running_loop().time())
+        if is_news(decision):
+            self.on_news(item)
+
+
+@singledispatch
+async def perform(action: object, client: PlatformClient) -> None:
+    """Carry out what was decided about the platform."""
+    raise NotImplementedError(f"no rule for {type(action).__name__}; register one")
+
+
+@perform.register
+async def _(action: WatchPlatform, client: PlatformClient) -> None:
+    await client.read_changes(WATCH_TIMEOUT_S)
+
+
+@perform.register
+async def _(action: ReadPlatform, client: PlatformClient) -> None:
+    await client.read_changes(0.0)
+    if client.node_state["platform"]["failures"] == 0:
+        await client.sleep(ROLE_CHECK_S)
+
+
+@perform.register
+async def _(action: AwaitPeers, client: PlatformClient) -> None:
+    await client.sleep(min(action.delay_s, ROLE_CHECK_S))
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -8,6 +8,7 @@
 import mode
 
 from jacinthsail.internal.adapters.connection import PeerConnection
+from jacinthsail.internal.commands.membership import spend_link_budget
 from jacinthsail.internal.commands.peers import (
     change_in_flight,
     record_draining,
@@ -27,6 +28,7 @@
     Message,
 )
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.membership import may_cross_region
 
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
@@ -70,6 +72,8 @@
     async def call(self, entry: VmEntry, call: Call) -> Outcome:
         """Relay a call to the node of another VM and return its outcome."""
         head = call.head
+        if not self._charge_link(entry, call):
+            return NotRun(Reason.LINK_BUDGET_SPENT, head.retries_left)
         connection = await self.connection_to(entry)
         if connection is None or not connection.has_room():
             self._suspect(entry.vm)
@@ -97,6 +101,18 @@
             if peer is not None:
                 change_in_flight(peer, -1)
 
+    def _charge_link(self, entry: VmEntry, call: Call) -> bool:
+        """Charge a call that crosses regions; return False when the budget is spent."""
+        settings = self.node_state["settings"]
+        if entry.region == settings.region:
+            return True
+        budget = self.node_state["link_budget"]
+        now = asyncio.get_running_loop().time()
+        if not may_cross_region(budget, settings.cross_region_bytes_per_s, now):
+            return False
+        spend_link_budget(budget, settings.cross_region_bytes_per_s, len(call.body), now)
+        return True
+
     async def connection_to(self, entry: VmEntry) -> PeerConnection | None:
         """Return an open connection to a peer, or None when it cannot be reached."""
         connection = self.connections.get(entry.vm)
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -108,6 +108,7 @@
     copy = builder.init("itemCopy")
     item = message.item
     _fill_version(ItemVersion(item.name, item.version, item.digest), copy.version)
+    copy.itemAsOfMs = item.as_of_ms
     copy.compressedBody = zlib.compress(item.body)
 
 
@@ -204,7 +205,8 @@
 def _item_copy(reader: Any) -> Message:
     version = _item_version(reader.itemCopy.version)
     body = _inflate(bytes(reader.itemCopy.compressedBody))
-    return ItemCopy(Item(version.name, version.version, version.digest, body))
+    as_of_ms = reader.itemCopy.itemAsOfMs
+    return ItemCopy(Item(version.name, version.version, version.digest, body, as_of_ms))
 
 
 def _call_request(reader: Any) -> Message:
--- a/src/jacinthsail/internal/commands/replication.py
+++ b/src/jacinthsail/internal/commands/replication.py
@@ -2,17 +2,48 @@
 
 from functools import singledispatch
 
+from jacinthsail.internal.commands.admission import apply_service_policy
+from jacinthsail.internal.model.document import Section
+from jacinthsail.internal.model.membership import Distance, VmEntry, VmList
 from jacinthsail.internal.model.replication import (
+    GossipState,
+    Item,
+    ItemDecision,
     NewSection,
     NewVmList,
+    PlatformState,
     Rejected,
     RejectedVersion,
+    ServiceInForce,
     StoreState,
     Superseded,
+    Withdrawn,
 )
+from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.lookup import distance_of, service_policy
+from jacinthsail.internal.queries.replication import (
+    contradicts_confirmation,
+    platform_tokens,
+    store_digest,
+)
+
+
+def install_item(state: NodeState, decision: ItemDecision, now: float) -> None:
+    """Put a decision about a copy into force, with what it changes for the own target.
+
+    The limiter starts anew when its policy is applied, so edits that leave the own service as it is
+    must not apply it.
+    """
+    store = state["store"]
+    service = state["settings"].service
+    before = service_policy(store, service)
+    accept_item(store, decision, now)
+    after = service_policy(store, service)
+    if after is not None and after != before:
+        apply_service_policy(state["admission"], after)
 
 
-def accept_item(store: StoreState, decision: object, now: float) -> None:
+def accept_item(store: StoreState, decision: ItemDecision, now: float) -> None:
     """Put into force what was decided about a copy of an item."""
     _accept(decision, store, now)
 
@@ -24,31 +55,210 @@
 
 @_accept.register
 def _(decision: NewSection, store: StoreState, now: float) -> None:
-    item = decision.item
-    store["items"][item.name] = item
-    store["sections"][item.name] = decision.section
-    store["newest_seen"][item.name] = item.version
-    store["rejected"].pop(item.name, None)
-    store["changed_at"] = now
+    _record_copy(store, decision.item, now)
+    previous = store["sections"].get(decision.item.name)
+    store["sections"][decision.item.name] = decision.section
+    _index_section(store, decision.item.name, previous, decision.section)
 
 
 @_accept.register
 def _(decision: NewVmList, store: StoreState, now: float) -> None:
+    _record_copy(store, decision.item, now)
+    previous = store["vm_lists"].get(decision.item.name)
+    store["vm_lists"][decision.item.name] = decision.vm_list
+    store["membership_changes"] += 1
+    _index_vm_list(store, decision.item.name, previous, decision.vm_list)
+
+
+@_accept.register
+def _(decision: Rejected, store: StoreState, now: float) -> None:
     item = decision.item
-    store["items"][item.name] = item
-    store["vm_lists"][item.name] = decision.vm_list
-    store["newest_seen"][item.name] = item.version
-    store["rejected"].pop(item.name, None)
+    _record_version(store, item)
+    store["rejected"][item.name] = RejectedVersion(item.version, decision.errors, item)
+    store["digest"] = store_digest(store)
     store["changed_at"] = now
 
 
 @_accept.register
-def _(decision: Rejected, store: StoreState, now: float) -> None:
+def _(decision: Withdrawn, store: StoreState, now: float) -> None:
     item = decision.item
-    store["newest_seen"][item.name] = item.version
-    store["rejected"][item.name] = RejectedVersion(item.version, decision.errors)
+    _record_version(store, item)
+    store["rejected"][item.name] = RejectedVersion(item.version, decision.errors, item)
+    store["items"].pop(item.name, None)
+    section = store["sections"].pop(item.name, None)
+    _index_section(store, item.name, section, None)
+    vm_list = store["vm_lists"].pop(item.name, None)
+    _index_vm_list(store, item.name, vm_list, None)
+    store["membership_changes"] += 1
+    store["digest"] = store_digest(store)
+    store["changed_at"] = now
 
 
 @_accept.register
 def _(decision: Superseded, store: StoreState, now: float) -> None:
     return
+
+
+def _record_copy(store: StoreState, item: Item, now: float) -> None:
+    _record_version(store, item)
+    store["items"][item.name] = item
+    rejected = store["rejected"].get(item.name)
+    if rejected is not None and rejected.version <= item.version:
+        del store["rejected"][item.name]
+    store["digest"] = store_digest(store)
+    store["changed_at"] = now
+
+
+def _record_version(store: StoreState, item: Item) -> None:
+    if contradicts_confirmation(store, item):
+        store["as_of_ms"] = 0
+    store["newest_seen"][item.name] = max(item.version, store["newest_seen"].get(item.name, 0))
+    store["revision"] = max(item.version, store["revision"])
+
+
+def _index_section(
+    store: StoreState, name: str, previous: Section | None, section: Section | None
+) -> None:
+    """Bring the index up to date for the services of one section, old and new.
+
+    Of several sections that describe a service, the first by name wins. Versions and arrival order
+    cannot decide, since they differ between nodes while copies travel.
+    """
+    services_before = previous.services if previous else {}
+    services_after = section.services if section else {}
+    for service in {**services_before, **services_after}:
+        claimants = set(store["claimants"].get(service, ()))
+        claimants.discard(name)
+        if service in services_after:
+            claimants.add(name)
+        _index_service(store, service, tuple(sorted(claimants)))
+
+
+def _index_service(store: StoreState, service: str, claimants: tuple[str, ...]) -> None:
+    if not claimants:
+        store["claimants"].pop(service, None)
+        store["services"].pop(service, None)
+        return
+    winner = claimants[0]
+    store["claimants"][service] = claimants
+    policy = store["sections"][winner].services[service]
+    store["services"][service] = ServiceInForce(winner, policy)
+
+
+def _index_vm_list(
+    store: StoreState, name: str, previous: VmList | None, vm_list: VmList | None
+) -> None:
+    entries_before = previous.entries if previous else ()
+    entries_after = vm_list.entries if vm_list else ()
+    for entry in entries_before:
+        if store["vm_entries"].get(entry.vm) == entry:
+            del store["vm_entries"][entry.vm]
+        lists_of_service = store["service_vms"].get(entry.service, {})
+        lists_of_service.pop(name, None)
+        if not lists_of_service:
+            store["service_vms"].pop(entry.service, None)
+    by_service: dict[str, list[VmEntry]] = {}
+    for entry in entries_after:
+        store["vm_entries"][entry.vm] = entry
+        by_service.setdefault(entry.service, []).append(entry)
+    for service, entries in by_service.items():
+        store["service_vms"].setdefault(service, {})[name] = tuple(entries)
+
+
+def confirm_versions(store: StoreState, as_of_ms: int, now: float) -> None:
+    """Remember that every version published up to ``as_of_ms`` is known here."""
+    if as_of_ms <= store["as_of_ms"]:
+        return
+    store["as_of_ms"] = as_of_ms
+    store["confirmed_at"] = now
+
+
+def record_platform_change(platform: PlatformState, revision: int) -> None:
+    """Remember that every change up to a revision of the platform was read."""
+    platform["revision"] = max(revision, platform["revision"])
+    platform["stale"] = False
+    platform["failures"] = 0
+
+
+def record_stale_platform(platform: PlatformState) -> None:
+    """Remember that the platform answered from an older state than one already seen."""
+    platform["stale"] = True
+    platform["failures"] += 1
+
+
+def record_platform_failure(platform: PlatformState) -> None:
+    """Remember that a read of the platform failed."""
+    platform["failures"] += 1
+
+
+def count_platform_read(platform: PlatformState, now: float) -> None:
+    """Count one read of the platform and take it from the budget."""
+    platform["tokens"] = max(0.0, platform_tokens(platform, now) - 1.0)
+    platform["tokens_at"] = now
+    platform["reads"] += 1
+
+
+def record_digest_match(gossip: GossipState, vm: str) -> None:
+    """Remember that a peer holds the same versions."""
+    gossip["mismatch_since"].pop(vm, None)
+
+
+def record_digest_mismatch(gossip: GossipState, vm: str, now: float) -> None:
+    """Remember since when a peer has held other versions."""
+    gossip["mismatch_since"].setdefault(vm, now)
+
+
+def record_offer_sent(gossip: GossipState, vm: str, now: float) -> None:
+    """Remember when all versions were last offered to a peer."""
+    gossip["offered_at"][vm] = now
+
+
+def record_complete_offer(gossip: GossipState) -> None:
+    """Count an offer that named all versions of a peer."""
+    gossip["complete_offers_heard"] += 1
+
+
+def record_gossip_attempt(gossip: GossipState, vm: str, next_attempt: float, opened: bool) -> None:
+    """Remember the outcome of an attempt to reach a gossip peer, and when the next one is due."""
+    gossip["next_attempt"][vm] = next_attempt
+    if opened:
+        gossip["failures"][vm] = 0
+        return
+    gossip["failures"][vm] = gossip["failures"].get(vm, 0) + 1
+
+
+def choose_gossip_peers(gossip: GossipState, chosen: frozenset[str]) -> None:
+    """Set the gossip peers and drop what is remembered of others, to bound the state."""
+    gossip["chosen"] = chosen
+    for memory in (
+        gossip["next_attempt"],
+        gossip["failures"],
+        gossip["offered_at"],
+        gossip["mismatch_since"],
+    ):
+        for vm in [vm for vm in memory if vm not in chosen]:
+            del memory[vm]
+
+
+def count_sent(state: NodeState, vm: str, size: int) -> None:
+    """Count the bytes of a control message that was sent."""
+    control = state["control"]
+    match distance_of(state, vm):
+        case Distance.OWN_DOMAIN:
+            control["sent_in_domain"] += size
+        case Distance.OWN_REGION:
+            control["sent_in_region"] += size
+        case Distance.OTHER_REGION:
+            control["sent_across_regions"] += size
+
+
+def count_received(state: NodeState, vm: str, size: int) -> None:
+    """Count the bytes of a control message that was received."""
+    control = state["control"]
+    match distance_of(state, vm):
+        case Distance.OWN_DOMAIN:
+            control["received_in_domain"] += size
+        case Distance.OWN_REGION:
+            control["received_in_region"] += size
+        case Distance.OTHER_REGION:
+            control["received_across_regions"] += size
--- a/src/jacinthsail/internal/model/membership.py
+++ b/src/jacinthsail/internal/model/membership.py
@@ -1,7 +1,7 @@
 """The list of VMs as the platform publishes it."""
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 
 class VmStatus(StrEnum):
@@ -11,6 +11,14 @@
     LEAVING = "leaving"
 
 
+class Distance(StrEnum):
+    """How far a VM is from this node."""
+
+    OWN_DOMAIN = "own-domain"
+    OWN_REGION = "own-region"
+    OTHER_REGION = "other-region"
+
+
 class VmEntry(NamedTuple):
     """One VM with its target and its node.
 
@@ -39,3 +47,10 @@
     version: int
     as_of_ms: int
     entries: tuple[VmEntry, ...]
+
+
+class LinkBudget(TypedDict):
+    """Token bucket of bytes that calls from here may send across regions."""
+
+    tokens: float
+    updated_at: float
--- a/src/jacinthsail/internal/model/settings.py
+++ b/src/jacinthsail/internal/model/settings.py
@@ -42,6 +42,7 @@
     operators: Endpoint
     target: Endpoint
     platform: Endpoint
+    seeds: tuple[Endpoint, ...]
     cross_region_bytes_per_s: int
     ledger_entries: int
     log_buffer_lines: int
--- a/src/jacinthsail/internal/model/state.py
+++ b/src/jacinthsail/internal/model/state.py
@@ -5,8 +5,14 @@
 from jacinthsail.internal.model.admission import AdmissionState
 from jacinthsail.internal.model.clock import ClockState
 from jacinthsail.internal.model.idempotency import LedgerState
+from jacinthsail.internal.model.membership import LinkBudget
 from jacinthsail.internal.model.peers import PeerState
-from jacinthsail.internal.model.replication import StoreState
+from jacinthsail.internal.model.replication import (
+    ControlBytes,
+    GossipState,
+    PlatformState,
+    StoreState,
+)
 from jacinthsail.internal.model.retries import RetryState
 from jacinthsail.internal.model.settings import NodeSettings
 
@@ -17,6 +23,10 @@
     settings: NodeSettings
     clock: ClockState
     store: StoreState
+    platform: PlatformState
+    gossip: GossipState
+    control: ControlBytes
+    link_budget: LinkBudget
     admission: AdmissionState
     retries: RetryState
     ledger: LedgerState
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -5,9 +5,11 @@
 from sortedcontainers import SortedKeyList
 
 from jacinthsail.internal.model.admission import AdmissionState, FixedLimit
+from jacinthsail.internal.model.replication import StoreState
 from jacinthsail.internal.model.settings import NodeSettings
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.admission import queue_order
+from jacinthsail.internal.queries.replication import EMPTY_DIGEST, PLATFORM_READ_BURST
 
 
 def initial_state(settings: NodeSettings, incarnation: str, now: float, now_ms: int) -> NodeState:
@@ -15,14 +17,34 @@
     return NodeState(
         settings=settings,
         clock={"started_at": now, "started_at_ms": now_ms, "last_seen": now, "pauses": 0},
-        store={
-            "items": {},
-            "sections": {},
-            "vm_lists": {},
-            "newest_seen": {},
-            "rejected": {},
-            "as_of_ms": 0,
-            "changed_at": now,
+        store=initial_store(now),
+        platform={
+            "revision": 0,
+            "stale": False,
+            "reads": 0,
+            "failures": 0,
+            "tokens": PLATFORM_READ_BURST,
+            "tokens_at": now,
+        },
+        gossip={
+            "chosen": frozenset(),
+            "next_attempt": {},
+            "failures": {},
+            "offered_at": {},
+            "mismatch_since": {},
+            "complete_offers_heard": 0,
+        },
+        control={
+            "sent_in_domain": 0,
+            "received_in_domain": 0,
+            "sent_in_region": 0,
+            "received_in_region": 0,
+            "sent_across_regions": 0,
+            "received_across_regions": 0,
+        },
+        link_budget={
+            "tokens": float(settings.cross_region_bytes_per_s),
+            "updated_at": now,
         },
         admission=initial_admission(now),
         retries={"tokens": {}, "allowances": {}},
@@ -38,6 +60,27 @@
     )
 
 
+def initial_store(now: float) -> StoreState:
+    """Return a store without any item."""
+    return {
+        "items": {},
+        "sections": {},
+        "vm_lists": {},
+        "newest_seen": {},
+        "rejected": {},
+        "as_of_ms": 0,
+        "confirmed_at": now,
+        "changed_at": now,
+        "revision": 0,
+        "digest": EMPTY_DIGEST,
+        "services": {},
+        "claimants": {},
+        "vm_entries": {},
+        "service_vms": {},
+        "membership_changes": 0,
+    }
+
+
 def initial_admission(now: float) -> AdmissionState:
     """Return an admission state that refuses everything until a section sets its sizes."""
     return {
--- a/src/jacinthsail/internal/queries/lookup.py
+++ b/src/jacinthsail/internal/queries/lookup.py
@@ -1,41 +1,49 @@
-"""Look-ups in the replicated document and VM lists."""
+"""Look-ups in the replicated document and VM lists.
+
+They are on the request path, so each reads an index that changes only with the items behind it.
+"""
 
 from jacinthsail.internal.model.document import ClassPolicy, ServicePolicy
-from jacinthsail.internal.model.membership import VmEntry
+from jacinthsail.internal.model.membership import Distance, VmEntry
 from jacinthsail.internal.model.replication import StoreState
+from jacinthsail.internal.model.state import NodeState
 
 
 def service_policy(store: StoreState, service: str) -> ServicePolicy | None:
     """Return the policy in force for a service, or None when no section describes it."""
-    for section in store["sections"].values():
-        policy = section.services.get(service)
-        if policy is not None:
-            return policy
-    return None
+    in_force = store["services"].get(service)
+    if in_force is None:
+        return None
+    return in_force.policy
 
 
 def class_policy(store: StoreState, service: str, call_class: str) -> ClassPolicy | None:
     """Return the policy in force for a call class, or None when no section describes it."""
-    policy = service_policy(store, service)
-    if policy is None:
+    in_force = store["services"].get(service)
+    if in_force is None:
         return None
-    return policy.classes.get(call_class)
+    return in_force.policy.classes.get(call_class)
 
 
 def vm_entry(store: StoreState, vm: str) -> VmEntry | None:
     """Return the published entry of a VM, or None when no list holds it."""
-    for vm_list in store["vm_lists"].values():
-        for entry in vm_list.entries:
-            if entry.vm == vm:
-                return entry
-    return None
+    return store["vm_entries"].get(vm)
 
 
 def vms_of_service(store: StoreState, service: str) -> list[VmEntry]:
     """Return the published entries of a service, live and leaving."""
-    found = []
-    for vm_list in store["vm_lists"].values():
-        for entry in vm_list.entries:
-            if entry.service == service:
-                found.append(entry)
+    found: list[VmEntry] = []
+    for entries in store["service_vms"].get(service, {}).values():
+        found.extend(entries)
     return found
+
+
+def distance_of(state: NodeState, vm: str) -> Distance:
+    """Return how far a VM is; one that no list holds is taken for a neighbour."""
+    entry = vm_entry(state["store"], vm)
+    settings = state["settings"]
+    if entry is None or entry.failure_domain == settings.failure_domain:
+        return Distance.OWN_DOMAIN
+    if entry.region == settings.region:
+        return Distance.OWN_REGION
+    return Distance.OTHER_REGION
--- /dev/null
+++ b/src/jacinthsail/internal/queries/membership.py
@@ -0,0 +1,93 @@
+"""Decides which VMs watch the platform, which exchange copies, and what may cross regions."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from jacinthsail.internal.model.membership import LinkBudget, VmEntry, VmStatus
+from jacinthsail.internal.model.replication import StoreState
+from jacinthsail.internal.model.settings import NodeSettings
+
+# Two, so that the failure of one does not make its whole failure domain read the platform.
+WATCHERS_PER_DOMAIN = 2
+
+# With 6 random links per node, news reaches the 273 nodes of a failure domain in about 4 hops.
+PEERS_IN_DOMAIN = 6
+PEERS_IN_REGION = 2
+PEERS_PER_OTHER_REGION = 1
+
+# The budget of bytes across regions may be spent this far ahead.
+LINK_BURST_S = 1.0
+
+
+def rendezvous_score(place: str, vm: str) -> int:
+    """Return the score of a VM for a place; the VMs with the highest scores are chosen."""
+    return xxhash.xxh3_64_intdigest(f"{place}\n{vm}".encode())
+
+
+def highest_scores(place: str, entries: Iterable[VmEntry], count: int) -> list[VmEntry]:
+    """Return the entries with the highest scores, the same on every node with the same list."""
+    ranked = sorted(entries, key=lambda entry: (rendezvous_score(place, entry.vm), entry.vm))
+    return ranked[-count:][::-1]
+
+
+def watchers_of(store: StoreState, failure_domain: str) -> list[VmEntry]:
+    """Return the VMs of a failure domain that watch the platform."""
+    live = []
+    for vm_list in store["vm_lists"].values():
+        if vm_list.failure_domain != failure_domain:
+            continue
+        live.extend(_live(vm_list.entries))
+    return highest_scores(failure_domain, live, WATCHERS_PER_DOMAIN)
+
+
+def is_watcher(store: StoreState, settings: NodeSettings) -> bool:
+    """Tell whether this node watches the platform for its failure domain."""
+    watchers = watchers_of(store, settings.failure_domain)
+    return any(entry.vm == settings.vm for entry in watchers)
+
+
+def gossip_peers(store: StoreState, settings: NodeSettings) -> list[VmEntry]:
+    """Return the peers with which this node exchanges copies.
+
+    They are 6 of its own failure domain, 2 in others of its region and 1 in each other region,
+    chosen by rendezvous hash, so that a change of the list moves few links.
+    """
+    own_domain = []
+    own_region = []
+    other_regions: dict[str, list[VmEntry]] = {}
+    for vm_list in store["vm_lists"].values():
+        for entry in _live(vm_list.entries):
+            if entry.vm == settings.vm:
+                continue
+            if entry.failure_domain == settings.failure_domain:
+                own_domain.append(entry)
+                continue
+            if entry.region == settings.region:
+                own_region.append(entry)
+                continue
+            other_regions.setdefault(entry.region, []).append(entry)
+    peers = highest_scores(settings.vm, own_domain, PEERS_IN_DOMAIN)
+    peers += highest_scores(settings.vm, own_region, PEERS_IN_REGION)
+    for region in sorted(other_regions):
+        peers += highest_scores(settings.vm, other_regions[region], PEERS_PER_OTHER_REGION)
+    return peers
+
+
+def _live(entries: Iterable[VmEntry]) -> list[VmEntry]:
+    return [entry for entry in entries if entry.status is VmStatus.LIVE]
+
+
+def link_tokens(budget: LinkBudget, bytes_per_s: int, now: float) -> float:
+    """Return how many bytes may be sent across regions now."""
+    earned = (now - budget["updated_at"]) * bytes_per_s
+    return min(LINK_BURST_S * bytes_per_s, budget["tokens"] + earned)
+
+
+def may_cross_region(budget: LinkBudget, bytes_per_s: int, now: float) -> bool:
+    """Tell whether a call may be sent to another region.
+
+    A call may overdraw the bucket, so that one larger than the burst is not refused for ever; the
+    debt delays the calls after it.
+    """
+    return link_tokens(budget, bytes_per_s, now) > 0.0
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -7,6 +7,7 @@
 from jacinthsail.internal.model.document import ClassPolicy, SpillOver
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
 from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.lookup import class_policy, vms_of_service
 
@@ -44,18 +45,27 @@
     state: NodeState, entries: list[VmEntry], tried: frozenset[str], now: float
 ) -> list[VmEntry]:
     usable = []
+    heeds_leaving = Mechanism.LEAVING not in state["settings"].disabled
     for entry in entries:
         if entry.vm in tried or entry.vm == state["settings"].vm:
             continue
-        if entry.status is VmStatus.LEAVING:
-            continue
         peer = state["peers"].get(entry.vm)
-        if peer is not None and (peer["draining"] or now < peer["suspected_until"]):
+        if heeds_leaving and is_leaving(state, entry):
+            continue
+        if peer is not None and now < peer["suspected_until"]:
             continue
         usable.append(entry)
     return usable
 
 
+def is_leaving(state: NodeState, entry: VmEntry) -> bool:
+    """Tell whether a VM takes no new work, from its list or from its own node."""
+    if entry.status is VmStatus.LEAVING:
+        return True
+    peer = state["peers"].get(entry.vm)
+    return peer is not None and peer["draining"]
+
+
 def _by_distance(
     state: NodeState, candidates: list[VmEntry], policy: ClassPolicy
 ) -> list[list[VmEntry]]:
--- a/src/jacinthsail/internal/queries/settings.py
+++ b/src/jacinthsail/internal/queries/settings.py
@@ -42,6 +42,7 @@
         "operators": _ENDPOINT,
         "target": _ENDPOINT,
         "platform": _ENDPOINT,
+        "seeds": {"type": "array", "items": _ENDPOINT},
         "limits": {
             "type": "object",
             "properties": {
@@ -96,6 +97,7 @@
         operators=_endpoint(table["operators"]),
         target=_endpoint(table["target"]),
         platform=_endpoint(table["platform"]),
+        seeds=tuple(_endpoint(seed) for seed in table.get("seeds", [])),
         cross_region_bytes_per_s=limits.get(
             "cross_region_bytes_per_s", DEFAULT_CROSS_REGION_BYTES_PER_S
         ),
--- a/src/jacinthsail/internal/queries/status.py
+++ b/src/jacinthsail/internal/queries/status.py
@@ -2,13 +2,19 @@
 
 from typing import TypedDict
 
-from jacinthsail.errors import describe
+from jacinthsail.errors import ConfigurationError, Conflict, describe
+from jacinthsail.internal.model.replication import ControlBytes, StoreState
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.limits import limit_of
+from jacinthsail.internal.queries.membership import is_watcher
+from jacinthsail.internal.queries.replication import reasons_not_ready
 
 
 class SectionStatus(TypedDict):
-    """The version in force of one section, and the newer one that was rejected, if any."""
+    """The version in force of one section, and the newer one that was rejected, if any.
+
+    A section without a version in force has version 0.
+    """
 
     version: int
     owner: str
@@ -24,10 +30,17 @@
     failure_domain: str
     service: str
     ready: bool
+    not_ready_because: list[str]
     draining: bool
     sections: dict[str, SectionStatus]
     vm_lists: dict[str, int]
     as_of_ms: int
+    confirmed_s_ago: float
+    changed_at: float
+    platform_stale: bool
+    platform_reads: int
+    is_watcher: bool
+    control_bytes: ControlBytes
     in_flight: int
     queued: int
     limit: int
@@ -36,21 +49,29 @@
     pauses: int
 
 
-def node_status(state: NodeState) -> NodeStatus:
+def node_status(state: NodeState, now: float) -> NodeStatus:
     """Return the status page of a node."""
     settings = state["settings"]
     admission = state["admission"]
     store = state["store"]
+    reasons = reasons_not_ready(state, now)
     return {
         "vm": settings.vm,
         "incarnation": state["ledger"]["incarnation"],
         "failure_domain": settings.failure_domain,
         "service": settings.service,
-        "ready": bool(store["sections"]) and bool(store["vm_lists"]),
+        "ready": not reasons,
+        "not_ready_because": reasons,
         "draining": admission["draining"],
         "sections": _sections(state),
         "vm_lists": {name: vm_list.version for name, vm_list in store["vm_lists"].items()},
         "as_of_ms": store["as_of_ms"],
+        "confirmed_s_ago": now - store["confirmed_at"],
+        "changed_at": store["changed_at"],
+        "platform_stale": state["platform"]["stale"],
+        "platform_reads": state["platform"]["reads"],
+        "is_watcher": is_watcher(store, settings),
+        "control_bytes": state["control"],
         "in_flight": len(admission["in_flight"]),
         "queued": len(admission["queue"]),
         "limit": limit_of(admission["limiter"]),
@@ -63,12 +84,31 @@
 def _sections(state: NodeState) -> dict[str, SectionStatus]:
     statuses: dict[str, SectionStatus] = {}
     store = state["store"]
-    for name, section in store["sections"].items():
+    for name in sorted({*store["sections"], *store["rejected"]}):
+        section = store["sections"].get(name)
         rejected = store["rejected"].get(name)
+        errors = [*rejected.errors] if rejected else []
+        errors += section_conflicts(store, name)
         statuses[name] = {
-            "version": section.version,
-            "owner": section.owner,
+            "version": section.version if section else 0,
+            "owner": section.owner if section else "",
             "rejected_version": rejected.version if rejected else None,
-            "errors": [describe(error) for error in rejected.errors] if rejected else [],
+            "errors": [describe(error) for error in errors],
         }
     return statuses
+
+
+def section_conflicts(store: StoreState, name: str) -> list[ConfigurationError]:
+    """Return an error for each service of a section that another section describes instead."""
+    section = store["sections"].get(name)
+    errors: list[ConfigurationError] = []
+    if section is None:
+        return errors
+    for service in section.services:
+        in_force = store["services"][service]
+        if in_force.section == name:
+            continue
+        detail = f"{in_force.section} describes the same service and is in force"
+        remedy = "remove the service from one of the two sections"
+        errors.append(Conflict(name, f"services.{service}", detail, remedy))
+    return errors
