--- a/src/jacinthsail/internal/adapters/gossip.py
+++ b/src/jacinthsail/internal/adapters/gossip.py
@@ -11,8 +11,6 @@
 from jacinthsail.internal.commands.replication import (
     choose_gossip_peers,
     confirm_versions,
-    count_received,
-    count_sent,
     install_item,
     record_complete_offer,
     record_digest_match,
@@ -21,7 +19,7 @@
     record_offer_sent,
 )
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
-from jacinthsail.internal.model.messages import Ask, Heartbeat, ItemCopy, Message, Offer
+from jacinthsail.internal.model.messages import Ask, Heartbeat, ItemCopy, Offer
 from jacinthsail.internal.model.replication import DigestMatch, DigestMismatch, Item
 from jacinthsail.internal.model.settings import Endpoint, Mechanism
 from jacinthsail.internal.model.state import NodeState
@@ -81,6 +79,7 @@
         for entry in self.chosen:
             connection = self.pool.connections.get(entry.vm)
             if connection is not None and connection.is_open():
+                connection.keeps_open = True
                 continue
             if now >= self.node_state["gossip"]["next_attempt"].get(entry.vm, 0.0):
                 due.append(entry)
@@ -102,22 +101,19 @@
 
 
 def seed_entry(seed: Endpoint) -> VmEntry:
-    """Return an entry by which a seed can be reached before any list is known."""
+    """Return an entry by which a seed can be reached before any list is known.
+
+    It names no failure domain, since only the address of the VM is known.
+    """
     name = f"seed {seed.host}:{seed.port}"
     return VmEntry(name, seed.host, 0, seed.port, "", "", "", VmStatus.LIVE, 0)
 
 
-def send_control(pool: RelayPool, connection: PeerConnection, message: Message) -> None:
-    """Send a control message and count its bytes."""
-    connection.send(message)
-    count_sent(pool.node_state, connection.peer_vm, connection.last_sent_bytes)
-
-
 def offer_all(pool: RelayPool, connection: PeerConnection, vm: str) -> None:
     """Offer every version held here."""
     state = pool.node_state
     record_offer_sent(state["gossip"], vm, asyncio.get_running_loop().time())
-    send_control(pool, connection, Offer(versions_held(state["store"]), complete=True))
+    connection.send(Offer(versions_held(state["store"]), complete=True))
 
 
 def spread_item(pool: RelayPool, item: Item, source: PeerConnection | None) -> None:
@@ -126,7 +122,7 @@
         connection = pool.connections.get(vm)
         if connection is None or connection is source or not connection.is_open():
             continue
-        send_control(pool, connection, offer_of_item(item))
+        connection.send(offer_of_item(item))
 
 
 _record_heartbeat = handle_message.dispatch(Heartbeat)
@@ -136,7 +132,6 @@
 def _(message: Heartbeat, pool: RelayPool, connection: PeerConnection) -> None:
     _record_heartbeat(message, pool, connection)
     state = pool.node_state
-    count_received(state, connection.peer_vm, connection.last_frame_bytes)
     if Mechanism.PEER_LEARNING in state["settings"].disabled or not connection.peer_vm:
         return
     now = asyncio.get_running_loop().time()
@@ -153,31 +148,28 @@
 @handle_message.register
 def _(message: Offer, pool: RelayPool, connection: PeerConnection) -> None:
     state = pool.node_state
-    count_received(state, connection.peer_vm, connection.last_frame_bytes)
     if Mechanism.PEER_LEARNING in state["settings"].disabled:
         return
     ask = decide_ask(state["store"], message)
     if ask.names:
-        send_control(pool, connection, ask)
+        connection.send(ask)
     if not message.complete:
         return
     record_complete_offer(state["gossip"])
     counter_offer = decide_counter_offer(state["store"], message)
     if counter_offer.versions:
-        send_control(pool, connection, counter_offer)
+        connection.send(counter_offer)
 
 
 @handle_message.register
 def _(message: Ask, pool: RelayPool, connection: PeerConnection) -> None:
-    count_received(pool.node_state, connection.peer_vm, connection.last_frame_bytes)
     for item in copies_of(pool.node_state["store"], message):
-        send_control(pool, connection, ItemCopy(item))
+        connection.send(ItemCopy(item))
 
 
 @handle_message.register
 def _(message: ItemCopy, pool: RelayPool, connection: PeerConnection) -> None:
     state = pool.node_state
-    count_received(state, connection.peer_vm, connection.last_frame_bytes)
     decision = decide_item(state["store"], message.item, state["settings"].disabled)
     install_item(state, decision, asyncio.get_running_loop().time())
     if is_news(decision):
--- a/src/jacinthsail/internal/adapters/operators.py
+++ b/src/jacinthsail/internal/adapters/operators.py
@@ -56,7 +56,8 @@
         QUEUED.set({}, len(admission["queue"]))
         LIMIT.set({}, limit_of(admission["limiter"]))
         PLATFORM_READS.set({}, self.node_state["platform"]["reads"])
-        for direction, size in self.node_state["control"].items():
-            CONTROL_BYTES.set({"direction": direction}, size)
+        for distance, traffic in self.node_state["control"].items():
+            for direction, size in traffic.items():
+                CONTROL_BYTES.set({"distance": distance.value, "direction": direction}, size)
         content, response_headers = render(REGISTRY, request.headers.getall("Accept", []))
         return web.Response(body=content, headers=response_headers)
--- a/src/jacinthsail/internal/commands/replication.py
+++ b/src/jacinthsail/internal/commands/replication.py
@@ -4,7 +4,7 @@
 
 from jacinthsail.internal.commands.admission import apply_service_policy
 from jacinthsail.internal.model.document import Section
-from jacinthsail.internal.model.membership import Distance, VmEntry, VmList
+from jacinthsail.internal.model.membership import VmEntry, VmList
 from jacinthsail.internal.model.replication import (
     GossipState,
     Item,
@@ -20,7 +20,7 @@
     Withdrawn,
 )
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.lookup import distance_of, service_policy
+from jacinthsail.internal.queries.lookup import service_policy
 from jacinthsail.internal.queries.replication import (
     contradicts_confirmation,
     platform_tokens,
@@ -238,27 +238,3 @@
     ):
         for vm in [vm for vm in memory if vm not in chosen]:
             del memory[vm]
-
-
-def count_sent(state: NodeState, vm: str, size: int) -> None:
-    """Count the bytes of a control message that was sent."""
-    control = state["control"]
-    match distance_of(state, vm):
-        case Distance.OWN_DOMAIN:
-            control["sent_in_domain"] += size
-        case Distance.OWN_REGION:
-            control["sent_in_region"] += size
-        case Distance.OTHER_REGION:
-            control["sent_across_regions"] += size
-
-
-def count_received(state: NodeState, vm: str, size: int) -> None:
-    """Count the bytes of a control message that was received."""
-    control = state["control"]
-    match distance_of(state, vm):
-        case Distance.OWN_DOMAIN:
-            control["received_in_domain"] += size
-        case Distance.OWN_REGION:
-            control["received_in_region"] += size
-        case Distance.OTHER_REGION:
-            control["received_across_regions"] += size
--- a/src/jacinthsail/internal/model/replication.py
+++ b/src/jacinthsail/internal/model/replication.py
@@ -106,17 +106,6 @@
     complete_offers_heard: int
 
 
-class ControlBytes(TypedDict):
-    """Bytes of control messages since the start, by the distance of the peer."""
-
-    sent_in_domain: int
-    received_in_domain: int
-    sent_in_region: int
-    received_in_region: int
-    sent_across_regions: int
-    received_across_regions: int
-
-
 class NewSection(NamedTuple):
     """The item is a newer, valid section."""
 
--- a/src/jacinthsail/internal/model/state.py
+++ b/src/jacinthsail/internal/model/state.py
@@ -5,10 +5,9 @@
 from jacinthsail.internal.model.admission import AdmissionState
 from jacinthsail.internal.model.clock import ClockState
 from jacinthsail.internal.model.idempotency import LedgerState
-from jacinthsail.internal.model.membership import LinkBudget
-from jacinthsail.internal.model.peers import PeerState
+from jacinthsail.internal.model.membership import Distance, LinkBudget
+from jacinthsail.internal.model.peers import PeerState, TrafficState
 from jacinthsail.internal.model.replication import (
-    ControlBytes,
     GossipState,
     PlatformState,
     StoreState,
@@ -25,7 +24,7 @@
     store: StoreState
     platform: PlatformState
     gossip: GossipState
-    control: ControlBytes
+    control: dict[Distance, TrafficState]
     link_budget: LinkBudget
     admission: AdmissionState
     retries: RetryState
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -5,6 +5,7 @@
 from sortedcontainers import SortedKeyList
 
 from jacinthsail.internal.model.admission import AdmissionState, FixedLimit
+from jacinthsail.internal.model.membership import Distance
 from jacinthsail.internal.model.replication import StoreState
 from jacinthsail.internal.model.settings import NodeSettings
 from jacinthsail.internal.model.state import NodeState
@@ -35,12 +36,8 @@
             "complete_offers_heard": 0,
         },
         control={
-            "sent_in_domain": 0,
-            "received_in_domain": 0,
-            "sent_in_region": 0,
-            "received_in_region": 0,
-            "sent_across_regions": 0,
-            "received_across_regions": 0,
+            distance: {"control_bytes_sent": 0, "control_bytes_received": 0}
+            for distance in Distance
         },
         link_budget={
             "tokens": float(settings.cross_region_bytes_per_s),
--- a/src/jacinthsail/internal/queries/lookup.py
+++ b/src/jacinthsail/internal/queries/lookup.py
@@ -3,7 +3,8 @@
 They are on the request path, so each reads an index that changes only with the items behind it.
 """
 
-from jacinthsail.internal.model.document import ClassPolicy, ServicePolicy
+from jacinthsail.internal.model.calls import CallHead
+from jacinthsail.internal.model.document import ClassPolicy, Execution, ServicePolicy
 from jacinthsail.internal.model.membership import Distance, VmEntry
 from jacinthsail.internal.model.replication import StoreState
 from jacinthsail.internal.model.state import NodeState
@@ -47,3 +48,19 @@
     if entry.region == settings.region:
         return Distance.OWN_REGION
     return Distance.OTHER_REGION
+
+
+def is_at_most_once(store: StoreState, head: CallHead) -> bool:
+    """Tell whether a call must not run twice under the section in force."""
+    policy = class_policy(store, head.service, head.call_class)
+    return policy is not None and policy.execution is Execution.AT_MOST_ONCE
+
+
+def is_same_call(first: CallHead, second: CallHead) -> bool:
+    """Tell whether two heads belong to one call; its rank and retries may differ on the way."""
+    return (first.request_id, first.service, first.call_class, first.idempotency_key) == (
+        second.request_id,
+        second.service,
+        second.call_class,
+        second.idempotency_key,
+    )
--- a/src/jacinthsail/internal/queries/status.py
+++ b/src/jacinthsail/internal/queries/status.py
@@ -3,7 +3,8 @@
 from typing import TypedDict
 
 from jacinthsail.errors import ConfigurationError, Conflict, describe
-from jacinthsail.internal.model.replication import ControlBytes, StoreState
+from jacinthsail.internal.model.peers import TrafficState
+from jacinthsail.internal.model.replication import StoreState
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.limits import limit_of
 from jacinthsail.internal.queries.membership import is_watcher
@@ -40,7 +41,7 @@
     platform_stale: bool
     platform_reads: int
     is_watcher: bool
-    control_bytes: ControlBytes
+    control_bytes: dict[str, TrafficState]
     in_flight: int
     queued: int
     limit: int
@@ -71,7 +72,7 @@
         "platform_stale": state["platform"]["stale"],
         "platform_reads": state["platform"]["reads"],
         "is_watcher": is_watcher(store, settings),
-        "control_bytes": state["control"],
+        "control_bytes": {place.value: traffic for place, traffic in state["control"].items()},
         "in_flight": len(admission["in_flight"]),
         "queued": len(admission["queue"]),
         "limit": limit_of(admission["limiter"]),
