Let stand-ins misbehave, and add links

Scenarios need targets, links and a platform that fail the way the real ones do.

The mesh runner signals, ends and starts single processes.

--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -1,6 +1,8 @@
-"""Starts a small mesh of real processes on loopback: platform, targets and nodes."""
+"""Starts a small mesh of real processes on loopback: platform, targets, nodes and links."""
 
 import json
+import os
+import signal
 import socket
 import subprocess
 import sys
@@ -8,16 +10,21 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from email.message import Message
 from pathlib import Path
 from types import TracebackType
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 
+# VMs are published as listed this long ago, so that keys born now may have them as their home.
+LISTED_AGO_MS = 60_000
+
+PLATFORM = "platform"
+
 
 class MeshVm(NamedTuple):
     """One VM of the mesh: a target and its node."""
@@ -35,6 +42,8 @@
     relay: int
     operators: int
     target: int
+    link: int
+    link_control: int
 
 
 class Reply(NamedTuple):
@@ -46,13 +55,6 @@
     body: str
 
 
-class VmProcesses(TypedDict):
-    """The two processes of one VM."""
-
-    node: subprocess.Popen[bytes]
-    target: subprocess.Popen[bytes]
-
-
 def free_port() -> int:
     """Return a port of 127.0.0.1 that is free now."""
     with socket.socket() as probe:
@@ -61,6 +63,11 @@
         return port
 
 
+def process_name(vm: str, role: str) -> str:
+    """Return the name of one process of a VM; the role is node, target or link."""
+    return f"{vm}/{role}"
+
+
 class Mesh:
     """A running mesh; use it as a context manager so that every process is ended.
 
@@ -69,20 +76,36 @@
     """
 
     def __init__(
-        self, vms: Sequence[MeshVm], sections: dict[str, str], node_settings: str = ""
+        self,
+        vms: Sequence[MeshVm],
+        sections: Mapping[str, str],
+        node_settings: str = "",
+        settings_of_vm: Mapping[str, str] | None = None,
+        behaviour: Mapping[str, object] | None = None,
+        has_links: bool = False,
     ) -> None:
         self.vms = {vm.vm: vm for vm in vms}
         self.sections = sections
         self.node_settings = node_settings
+        self.settings_of_vm = settings_of_vm or {}
+        self.behaviour = behaviour or {}
+        self.has_links = has_links
         self.folder = tempfile.TemporaryDirectory(prefix="jacinthsail-mesh-")
-        self.ports = {
-            vm.vm: Ports(free_port(), free_port(), free_port(), free_port()) for vm in vms
-        }
+        self.ports = {vm.vm: Ports(*(free_port() for _ in Ports._fields)) for vm in vms}
         self.platform_port = free_port()
-        self.platform: subprocess.Popen[bytes] | None = None
-        self.processes: dict[str, VmProcesses] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.listed_at_ms: dict[str, int] = {}
+        self.leaving_at_ms: dict[str, int] = {}
 
     def __enter__(self) -> "Mesh":
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def _start_all(self) -> None:
         self._start_platform()
         for name, text in self.sections.items():
             self.publish(f"section/{name}", text.encode())
@@ -91,7 +114,6 @@
             self.start_vm(vm)
         for vm in self.vms:
             self.wait_until_ready(vm)
-        return self
 
     def __exit__(
         self,
@@ -99,45 +121,66 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        for vm in self.processes.values():
-            vm["node"].terminate()
-        for vm in self.processes.values():
-            _end(vm["node"])
-            _end(vm["target"])
-        if self.platform is not None:
-            _end(self.platform)
+        for process in self.processes.values():
+            _wake(process)
+            process.terminate()
+        for process in self.processes.values():
+            _end(process)
         self.folder.cleanup()
 
     def _start_platform(self) -> None:
-        self.platform = self._start_standin("platform", ["--port", str(self.platform_port)])
+        self._start_standin(PLATFORM, "platform", ["--port", str(self.platform_port)])
         _wait_for(f"http://{HOST}:{self.platform_port}/v1/items")
 
-    def _start_standin(self, role: str, arguments: list[str]) -> subprocess.Popen[bytes]:
+    def _start_standin(self, name: str, role: str, arguments: list[str]) -> None:
         command = [sys.executable, "-m", "jacinthsail.testing.standin", "--role", role, *arguments]
-        return subprocess.Popen(command)
+        self.processes[name] = subprocess.Popen(command)
 
     def start_vm(self, vm: str) -> None:
-        """Start the target and the node of one VM."""
+        """Start the processes of one VM."""
+        self.start_process(vm, "target")
+        if self.has_links:
+            self.start_process(vm, "link")
+        self.start_process(vm, "node")
+
+    def start_process(self, vm: str, role: str) -> None:
+        """Start one process of a VM: its node, target or link."""
+        starters = {
+            "node": self._start_node,
+            "target": self._start_target,
+            "link": self._start_link,
+        }
+        starters[role](vm)
+
+    def _start_target(self, vm: str) -> None:
         ports = self.ports[vm]
-        target = self._start_standin(
-            "target",
-            [
-                "--port",
-                str(ports.target),
-                "--name",
-                vm,
-                "--node_url",
-                f"http://{HOST}:{ports.callers}",
-            ],
-        )
+        arguments = {
+            "port": ports.target,
+            "name": vm,
+            "node_url": f"http://{HOST}:{ports.callers}",
+            "behaviour": json.dumps(dict(self.behaviour)),
+            "record": self.record_path(vm),
+        }
+        flags = [f"--{name}={value}" for name, value in arguments.items()]
+        self._start_standin(process_name(vm, "target"), "target", flags)
+
+    def _start_link(self, vm: str) -> None:
+        ports = self.ports[vm]
+        flags = [
+            f"--port={ports.link_control}",
+            f"--relay_port={ports.link}",
+            f"--to_port={ports.relay}",
+        ]
+        self._start_standin(process_name(vm, "link"), "link", flags)
+
+    def _start_node(self, vm: str) -> None:
         settings = Path(self.folder.name) / f"{vm}.toml"
         settings.write_text(self._settings_of(vm), encoding="utf-8")
         with self.log_path(vm).open("ab") as log:
-            node = subprocess.Popen(
+            self.processes[process_name(vm, "node")] = subprocess.Popen(
                 [sys.executable, "-m", "jacinthsail.daemon", "--settings", str(settings)],
                 stderr=log,
             )
-        self.processes[vm] = {"node": node, "target": target}
 
     def _settings_of(self, vm: str) -> str:
         place = self.vms[vm]
@@ -149,15 +192,34 @@
             f'region = "{place.region}"',
             f'service = "{place.service}"',
         ]
-        endpoints = {**ports._asdict(), "platform": self.platform_port}
+        endpoints = {
+            "callers": ports.callers,
+            "relay": ports.relay,
+            "operators": ports.operators,
+            "target": ports.target,
+            "platform": self.platform_port,
+        }
         for name, port in endpoints.items():
             lines += [f"[{name}]", f'host = "{HOST}"', f"port = {port}"]
-        return "\n".join(lines) + "\n" + self.node_settings
+        own_settings = self.settings_of_vm.get(vm, "")
+        return "\n".join([*lines, self.node_settings, own_settings, ""])
+
+    def signal_process(self, vm: str, role: str, number: signal.Signals) -> None:
+        """Send a signal to one process of a VM, for example SIGSTOP to freeze it."""
+        os.kill(self.processes[process_name(vm, role)].pid, number)
+
+    def exit_code(self, vm: str, role: str) -> int | None:
+        """Return the exit code of a process, or None while it runs."""
+        return self.processes[process_name(vm, role)].poll()
 
     def log_path(self, vm: str) -> Path:
         """Return the path of a node's log."""
         return Path(self.folder.name) / f"{vm}.log"
 
+    def record_path(self, vm: str) -> Path:
+        """Return the path of a target's record of executions."""
+        return Path(self.folder.name) / f"{vm}.executions"
+
     def publish(self, name: str, body: bytes) -> None:
         """Publish an item on the platform."""
         url = f"http://{HOST}:{self.platform_port}/v1/items/{name}"
@@ -166,30 +228,36 @@
             pass
 
     def publish_vm_lists(self, leaving: frozenset[str] = frozenset()) -> None:
-        """Publish the VM list of each failure domain."""
+        """Publish the VM list of each failure domain; a VM that leaves goes on leaving."""
+        now_ms = time.time_ns() // 1_000_000
+        for vm in self.vms:
+            self.listed_at_ms.setdefault(vm, now_ms - LISTED_AGO_MS)
+        for vm in leaving:
+            self.leaving_at_ms.setdefault(vm, now_ms)
         domains = sorted({vm.failure_domain for vm in self.vms.values()})
         for domain in domains:
             entries = [
-                self._list_entry(vm, leaving)
-                for vm in self.vms.values()
-                if vm.failure_domain == domain
+                self._list_entry(vm) for vm in self.vms.values() if vm.failure_domain == domain
             ]
             body = json.dumps({"failure_domain": domain, "vms": entries})
             self.publish(f"vms/{domain}", body.encode())
 
-    def _list_entry(self, vm: MeshVm, leaving: frozenset[str]) -> dict[str, object]:
+    def _list_entry(self, vm: MeshVm) -> dict[str, object]:
         ports = self.ports[vm.vm]
-        return {
+        entry: dict[str, object] = {
             "vm": vm.vm,
             "host": HOST,
             "callers_port": ports.callers,
-            "relay_port": ports.relay,
+            "relay_port": ports.link if self.has_links else ports.relay,
             "failure_domain": vm.failure_domain,
             "region": vm.region,
             "service": vm.service,
-            "status": "leaving" if vm.vm in leaving else "live",
-            "listed_at_ms": 0,
+            "status": "live",
+            "listed_at_ms": self.listed_at_ms[vm.vm],
         }
+        if vm.vm in self.leaving_at_ms:
+            entry |= {"status": "leaving", "leaving_at_ms": self.leaving_at_ms[vm.vm]}
+        return entry
 
     def wait_until_ready(self, vm: str) -> None:
         """Wait until a node has its sections and VM lists."""
@@ -201,16 +269,30 @@
             time.sleep(0.05)
         raise TimeoutError(f"node {vm} is not ready after {START_TIMEOUT_S} s; read its log")
 
+    def status_url(self, vm: str) -> str:
+        """Return the URL of a node's status page."""
+        return f"http://{HOST}:{self.ports[vm].operators}/status"
+
     def status(self, vm: str) -> dict[str, object] | None:
         """Return the status page of a node, or None when it does not answer."""
-        url = f"http://{HOST}:{self.ports[vm].operators}/status"
         try:
-            with urllib.request.urlopen(url, timeout=5) as response:
+            with urllib.request.urlopen(self.status_url(vm), timeout=5) as response:
                 status: dict[str, object] = json.load(response)
                 return status
         except OSError:
             return None
 
+    def callers_url(self, vm: str) -> str:
+        """Return the base URL of a node's port for callers."""
+        return f"http://{HOST}:{self.ports[vm].callers}/v1"
+
+    def control_url(self, vm: str, role: str) -> str:
+        """Return the control URL of a stand-in; the platform's has an empty ``vm``."""
+        ports = {PLATFORM: self.platform_port}
+        if vm:
+            ports |= {"target": self.ports[vm].target, "link": self.ports[vm].link_control}
+        return f"http://{HOST}:{ports[role]}/control"
+
     def call(
         self,
         vm: str,
@@ -220,7 +302,7 @@
         headers: dict[str, str] | None = None,
     ) -> Reply:
         """Call a service through the node of a VM."""
-        url = f"http://{HOST}:{self.ports[vm].callers}/v1/services/{service}/{call_class}"
+        url = f"{self.callers_url(vm)}/services/{service}/{call_class}"
         request = urllib.request.Request(url, data=body, headers=headers or {}, method="POST")
         try:
             with urllib.request.urlopen(request, timeout=30) as response:
@@ -246,8 +328,13 @@
     raise TimeoutError(f"{url} does not answer after {START_TIMEOUT_S} s")
 
 
+def _wake(process: subprocess.Popen[bytes]) -> None:
+    # A frozen process would not receive its request to end.
+    if process.poll() is None:
+        os.kill(process.pid, signal.SIGCONT)
+
+
 def _end(process: subprocess.Popen[bytes]) -> None:
-    process.terminate()
     try:
         process.wait(STOP_TIMEOUT_S)
     except subprocess.TimeoutExpired:
