--- /dev/null
+++ b/tests/common/replicas.py
@@ -0,0 +1,120 @@
+"""Nodes, items and exchanges for tests of replication and membership."""
+
+import json
+
+from jacinthsail.internal.commands.replication import accept_item, confirm_versions
+from jacinthsail.internal.model.messages import Ask, Offer
+from jacinthsail.internal.model.replication import Item
+from jacinthsail.internal.model.settings import Endpoint, NodeSettings
+from jacinthsail.internal.queries.documents import digest_of
+from jacinthsail.internal.queries.initial import initial_state
+from jacinthsail.internal.queries.replication import (
+    copies_of,
+    decide_ask,
+    decide_counter_offer,
+    decide_item,
+    versions_held,
+)
+
+ENDPOINT = Endpoint("127.0.0.1", 1)
+
+
+def node_settings(**changes):
+    """Return the settings of a node, with some fields changed."""
+    settings = NodeSettings(
+        vm="vm-0",
+        failure_domain="domain-0",
+        region="region-0",
+        service="drafts",
+        callers=ENDPOINT,
+        relay=ENDPOINT,
+        operators=ENDPOINT,
+        target=ENDPOINT,
+        platform=ENDPOINT,
+        seeds=(),
+        cross_region_bytes_per_s=1000,
+        ledger_entries=100,
+        log_buffer_lines=100,
+        disabled=frozenset(),
+    )
+    return settings._replace(**changes)
+
+
+def node(now=0.0, **changes):
+    """Return the state of a new node."""
+    return initial_state(node_settings(**changes), "incarnation", now, 0)
+
+
+def item(name, version, text, as_of_ms=0):
+    """Return a published item."""
+    body = text.encode()
+    return Item(name, version, digest_of(body), body, as_of_ms)
+
+
+def section_item(name, version, services=("drafts",), slots=80, as_of_ms=0):
+    """Return a valid section that describes some services."""
+    lines = ['owner = "team"']
+    for service in services:
+        lines += [f"[services.{service}]", f"slots = {slots}", "connections = 560"]
+        lines += [f"[services.{service}.classes.view]", "importance = 1"]
+        lines += ['execution = "repeatable"', "deadline_ms = 2000"]
+    return item(f"section/{name}", version, "\n".join(lines), as_of_ms)
+
+
+def broken_item(name, version, as_of_ms=0):
+    """Return a section that cannot be accepted."""
+    return item(f"section/{name}", version, "owner = ", as_of_ms)
+
+
+def vm_list_item(domain, version, vms, as_of_ms=0):
+    """Return a VM list; ``vms`` are pairs of VM and service, or triples with a status."""
+    entries = []
+    for vm, service, *status in vms:
+        entries.append(
+            {
+                "vm": vm,
+                "host": "127.0.0.1",
+                "callers_port": 1,
+                "relay_port": 1,
+                "failure_domain": domain,
+                "region": region_of(domain),
+                "service": service,
+                "status": status[0] if status else "live",
+                "listed_at_ms": 0,
+            }
+        )
+    body = json.dumps({"failure_domain": domain, "vms": entries})
+    return item(f"vms/{domain}", version, body, as_of_ms)
+
+
+def region_of(domain):
+    """Return the region of ``domain-<number>``: four failure domains to a region."""
+    return f"region-{int(domain.removeprefix('domain-')) // 4}"
+
+
+def take(store, copy, now=0.0, disabled=frozenset()):
+    """Let a store decide on a copy and apply the decision."""
+    accept_item(store, decide_item(store, copy, disabled), now)
+
+
+def give(source, names, receiver):
+    """Send the copies that a receiver asked for."""
+    for copy in copies_of(source, Ask(tuple(names))):
+        take(receiver, copy)
+
+
+def exchange(first, second):
+    """Let the first store offer everything it holds to the second, as on a new connection."""
+    offer = Offer(versions_held(first), complete=True)
+    give(first, decide_ask(second, offer).names, second)
+    counter_offer = decide_counter_offer(second, offer)
+    give(second, decide_ask(first, counter_offer).names, first)
+
+
+def adopt(first, second, now=0.0):
+    """Let each store hear the other's heartbeat."""
+    if first["digest"] != second["digest"]:
+        return
+    newest = max(first["as_of_ms"], second["as_of_ms"])
+    confirm_versions(first, newest, now)
+    confirm_versions(second, newest, now)
--- /dev/null
+++ b/tests/fast/test_replication.py
@@ -0,0 +1,371 @@
+"""Guards the versions in force: they only go up, and every node ends with the same ones."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthsail.errors import Conflict
+from jacinthsail.internal.commands.replication import (
+    confirm_versions,
+    install_item,
+    record_platform_change,
+)
+from jacinthsail.internal.model.messages import Heartbeat
+from jacinthsail.internal.model.replication import (
+    DigestMatch,
+    DigestMismatch,
+    PlatformChange,
+)
+from jacinthsail.internal.model.settings import Mechanism
+from jacinthsail.internal.queries.initial import initial_store
+from jacinthsail.internal.queries.lookup import (
+    class_policy,
+    service_policy,
+    vm_entry,
+    vms_of_service,
+)
+from jacinthsail.internal.queries.replication import (
+    OFFER_ALL_INTERVAL_S,
+    decide_item,
+    decide_on_digest,
+    heartbeat_of,
+    is_caught_up,
+    is_stale,
+    names_to_read,
+    reasons_not_ready,
+    version_in_force,
+)
+from jacinthsail.internal.queries.status import node_status, section_conflicts
+from tests.common.replicas import (
+    adopt,
+    broken_item,
+    exchange,
+    item,
+    node,
+    section_item,
+    take,
+    vm_list_item,
+)
+
+# The same examples in each run, so that a verdict does not depend on chance.
+STEADY = settings(derandomize=True, deadline=None, max_examples=150)
+
+NAMES = ("section/a", "section/b", "vms/domain-0")
+
+
+@st.composite
+def histories(draw):
+    """Draw what the platform published, oldest first; the version is the place in the history."""
+    kinds = draw(st.lists(st.tuples(st.sampled_from(NAMES), st.booleans()), min_size=1, max_size=8))
+    published = []
+    for index, (name, is_valid) in enumerate(kinds):
+        version = index + 1
+        published.append(published_item(name, version, is_valid))
+    return published
+
+
+def published_item(name, version, is_valid):
+    # Publication happens at 1000 ms per version.
+    as_of_ms = 1000 * version
+    if name.startswith("vms/"):
+        if not is_valid:
+            return item(name, version, "{", as_of_ms)
+        vms = [(f"vm-{version}", "drafts"), ("vm-0", f"service-{version % 2}")]
+        return vm_list_item("domain-0", version, vms, as_of_ms)
+    if not is_valid:
+        return broken_item(name.removeprefix("section/"), version, as_of_ms)
+    services = ("drafts",) if version % 2 else ("drafts", "billing")
+    return section_item(name.removeprefix("section/"), version, services, version, as_of_ms)
+
+
+def newest_valid(published, name):
+    """Return the newest version that a store without anything else in force accepts, or 0."""
+    versions = [0]
+    for copy in published:
+        if copy.name == name and type(decide_item(initial_store(0.0), copy)).__name__.startswith(
+            "New"
+        ):
+            versions.append(copy.version)
+    return max(versions)
+
+
+def newest(published, name):
+    return max((copy.version for copy in published if copy.name == name), default=0)
+
+
+class OrderTest(unittest.TestCase):
+    @STEADY
+    @given(st.data())
+    def test_any_order_and_repetition_of_copies(self, data):
+        """A late copy of an old version, from a peer or a stale platform, would undo an edit."""
+        published = data.draw(histories())
+        repeated = data.draw(st.lists(st.sampled_from(published), max_size=8))
+        copies = data.draw(st.permutations(published + repeated))
+        store = initial_store(0.0)
+        for copy in copies:
+            before = {name: version_in_force(store, name) for name in NAMES}
+            take(store, copy)
+            for name in NAMES:
+                self.assertGreaterEqual(version_in_force(store, name), before[name])
+        for name in NAMES:
+            self.assertEqual(version_in_force(store, name), newest_valid(published, name))
+            self.assertEqual(store["newest_seen"].get(name, 0), newest(published, name))
+
+    @STEADY
+    @given(st.data())
+    def test_order_leaves_no_trace(self, data):
+        """An index that depends on the order of copies gives nodes different policies."""
+        published = data.draw(histories())
+        stores = []
+        for copies in (published, data.draw(st.permutations(published))):
+            store = initial_store(0.0)
+            for copy in copies:
+                take(store, copy)
+            stores.append(store)
+        for key in ("digest", "services", "claimants", "vm_entries", "service_vms", "revision"):
+            self.assertEqual(stores[0][key], stores[1][key], key)
+
+    def test_version_order_disabled_goes_back(self):
+        """The scenario without this mechanism must show the fault that it prevents."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 2))
+        take(store, section_item("a", 1), disabled=frozenset({Mechanism.VERSION_ORDER}))
+        self.assertEqual(version_in_force(store, "section/a"), 1)
+
+
+class ExchangeTest(unittest.TestCase):
+    @STEADY
+    @given(st.data())
+    def test_both_sides_of_a_partition_converge(self, data):
+        """Edits read on different sides of a partition must all survive when the sides meet."""
+        published = data.draw(histories())
+        sides = [[initial_store(0.0) for _ in range(3)] for _ in range(2)]
+        for side in sides:
+            reads = data.draw(st.lists(st.sampled_from(published), max_size=6))
+            for copy in reads:
+                take(data.draw(st.sampled_from(side)), copy)
+            pairs = data.draw(st.lists(st.permutations(side), max_size=4))
+            for pair in pairs:
+                exchange(pair[0], pair[1])
+        stores = [*sides[0], *sides[1]]
+        held = []
+        for copy in published:
+            if any(copy in held_by(store) for store in stores):
+                held.append(copy)
+        for _ in range(2):
+            for index, store in enumerate(stores):
+                exchange(store, stores[(index + 1) % len(stores)])
+        self.assertEqual(len({store["digest"] for store in stores}), 1)
+        for name in NAMES:
+            for store in stores:
+                self.assertEqual(version_in_force(store, name), newest_valid(held, name))
+                self.assertEqual(store["newest_seen"].get(name, 0), newest(held, name))
+
+    @STEADY
+    @given(st.data())
+    def test_confirmation_covers_every_published_version(self, data):
+        """A confirmation past an unseen VM list would let two VMs be home of one key."""
+        published = data.draw(histories())
+        stores = [initial_store(0.0) for _ in range(3)]
+        steps = st.lists(st.tuples(st.integers(0, 2), st.integers(0, 2), st.integers(0, 8)))
+        for reader, peer, revision in data.draw(steps):
+            before = stores[reader]["as_of_ms"]
+            if reader == peer:
+                read_platform(stores[reader], published[:revision], 1000 * (revision + 1) - 1)
+            else:
+                exchange(stores[reader], stores[peer])
+                adopt(stores[reader], stores[peer])
+            self.assertGreaterEqual(stores[reader]["as_of_ms"], before)
+            for store in stores:
+                self.assert_covered(store, published)
+
+    def assert_covered(self, store, published):
+        for copy in published:
+            if copy.as_of_ms <= store["as_of_ms"]:
+                self.assertGreaterEqual(store["newest_seen"].get(copy.name, 0), copy.version)
+
+    def test_new_vm_learns_last_good_and_newest_version(self):
+        """The platform holds only the broken version; without peers a new VM lacks the section."""
+        old = initial_store(0.0)
+        take(old, section_item("a", 1))
+        take(old, broken_item("a", 2))
+        new = initial_store(0.0)
+        take(new, broken_item("a", 2))
+        exchange(new, old)
+        self.assertEqual(version_in_force(new, "section/a"), 1)
+        self.assertEqual(new["rejected"]["section/a"].version, 2)
+        self.assertEqual(new["digest"], old["digest"])
+
+    def test_new_vm_with_a_stale_platform_is_corrected(self):
+        """A stale platform that claims to be current must not outweigh what peers hold."""
+        new = initial_store(0.0)
+        read_platform(new, [vm_list_item("domain-0", 1, [("vm-1", "drafts")])], 9000)
+        peer = initial_store(0.0)
+        current = vm_list_item("domain-0", 5, [("vm-2", "drafts")], as_of_ms=5000)
+        read_platform(peer, [current], 8000)
+        exchange(new, peer)
+        self.assertIsNotNone(vm_entry(new, "vm-2"))
+        self.assertEqual(new["as_of_ms"], 0)
+        adopt(new, peer)
+        self.assertEqual(new["as_of_ms"], 8000)
+
+    def test_stale_platform_does_not_advance_the_confirmation(self):
+        """A platform that went back would otherwise confirm versions that it does not know."""
+        state = node()
+        take(state["store"], section_item("a", 7))
+        self.assertTrue(is_stale(state["store"], state["platform"], PlatformChange(6, 9000, ())))
+        self.assertFalse(is_stale(state["store"], state["platform"], PlatformChange(7, 9000, ())))
+        record_platform_change(state["platform"], 9)
+        self.assertTrue(is_stale(state["store"], state["platform"], PlatformChange(8, 9000, ())))
+
+    def test_only_changed_items_are_read(self):
+        """Reading the whole document for each change would cost the platform 1 MB per watcher."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 1))
+        change = PlatformChange(2, 0, (("section/a", 1), ("section/b", 2)))
+        self.assertEqual(names_to_read(store, change), ["section/b"])
+        self.assertFalse(is_caught_up(store, change))
+
+
+def held_by(store):
+    held = list(store["items"].values())
+    return held + [rejected.item for rejected in store["rejected"].values()]
+
+
+def read_platform(store, published, as_of_ms):
+    """Read a platform whose newest state is ``published``."""
+    revision = max((copy.version for copy in published), default=0)
+    current = {copy.name: copy for copy in published}
+    versions = tuple((copy.name, copy.version) for copy in current.values())
+    change = PlatformChange(revision, as_of_ms, versions)
+    stale = is_stale(store, {"revision": 0}, change)
+    for name in names_to_read(store, change):
+        take(store, current[name]._replace(as_of_ms=max(as_of_ms, current[name].as_of_ms)))
+    if not stale and is_caught_up(store, change):
+        confirm_versions(store, as_of_ms, 0.0)
+
+
+class RejectedVersionTest(unittest.TestCase):
+    def test_last_good_version_stays_in_force(self):
+        """A broken edit must not take a service's policy away."""
+        state = node()
+        take(state["store"], section_item("a", 1))
+        take(state["store"], broken_item("a", 2))
+        self.assertIsNotNone(service_policy(state["store"], "drafts"))
+        status = node_status(state, 0.0)["sections"]["section/a"]
+        self.assertEqual((status["version"], status["rejected_version"]), (1, 2))
+        self.assertTrue(status["errors"])
+
+    def test_section_without_a_good_version_is_reported(self):
+        """A section of which no version is valid must not be missing from the status page."""
+        state = node()
+        take(state["store"], broken_item("a", 2))
+        status = node_status(state, 0.0)["sections"]["section/a"]
+        self.assertEqual((status["version"], status["rejected_version"]), (0, 2))
+
+    def test_last_good_disabled_withdraws(self):
+        """The scenario without this mechanism must show the fault that it prevents."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 1))
+        take(store, broken_item("a", 2), disabled=frozenset({Mechanism.LAST_GOOD_SECTION}))
+        self.assertIsNone(service_policy(store, "drafts"))
+        self.assertEqual(store["sections"], {})
+
+
+class EffectTest(unittest.TestCase):
+    def test_edit_of_another_service_keeps_the_limiter(self):
+        """A limiter that starts anew at each edit of the document loses what it has learnt."""
+        state = node()
+        install(state, section_item("a", 1, slots=80))
+        limiter = state["admission"]["limiter"]
+        install(state, section_item("b", 2, services=("billing",)))
+        install(state, section_item("a", 3, services=("drafts", "seals"), slots=80))
+        self.assertIs(state["admission"]["limiter"], limiter)
+        install(state, section_item("a", 4, slots=40))
+        self.assertIsNot(state["admission"]["limiter"], limiter)
+
+    def test_only_the_changed_section_is_rebuilt(self):
+        """Rebuilding every policy at each of 1,800 edits a day costs time on every node."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 1))
+        policy = service_policy(store, "drafts")
+        take(store, section_item("b", 2, services=("billing",)))
+        self.assertIs(service_policy(store, "drafts"), policy)
+
+    def test_call_in_flight_keeps_its_policy(self):
+        """An edit during a call must not change what the call began with."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 1, slots=80))
+        policy = class_policy(store, "drafts", "view")
+        copy = policy._replace()
+        take(store, section_item("a", 2, services=("billing",)))
+        self.assertEqual(policy, copy)
+        self.assertIsNone(class_policy(store, "drafts", "view"))
+
+    def test_two_sections_for_one_service(self):
+        """Nodes that choose different sections would treat one call differently at each hop."""
+        for order in ((1, 2), (2, 1)):
+            store = initial_store(0.0)
+            take(store, section_item("b", order[0], slots=10))
+            take(store, section_item("a", order[1], slots=20))
+            self.assertEqual(service_policy(store, "drafts").slots, 20)
+            self.assertEqual(section_conflicts(store, "section/a"), [])
+            self.assertIsInstance(section_conflicts(store, "section/b")[0], Conflict)
+            take(store, section_item("a", 3, services=("billing",)))
+            self.assertEqual(service_policy(store, "drafts").slots, 10)
+
+    def test_index_follows_the_vm_list(self):
+        """A VM that has left the list would still be given calls."""
+        store = initial_store(0.0)
+        take(store, vm_list_item("domain-0", 1, [("vm-1", "drafts"), ("vm-2", "drafts")]))
+        take(store, vm_list_item("domain-1", 2, [("vm-3", "drafts")]))
+        take(store, vm_list_item("domain-0", 3, [("vm-2", "billing")]))
+        self.assertEqual([entry.vm for entry in vms_of_service(store, "drafts")], ["vm-3"])
+        self.assertIsNone(vm_entry(store, "vm-1"))
+        self.assertEqual(vm_entry(store, "vm-2").service, "billing")
+
+
+def install(state, copy):
+    install_item(state, decide_item(state["store"], copy), 0.0)
+
+
+class DigestTest(unittest.TestCase):
+    def test_equal_digest_brings_the_confirmation(self):
+        """Without it every node would have to read the platform for a fresh confirmation."""
+        state = node()
+        heartbeat = heartbeat_of(state)._replace(as_of_ms=77)
+        self.assertEqual(decide_on_digest(state, "vm-1", heartbeat, 0.0), DigestMatch(77))
+
+    def test_difference_must_outlast_a_heartbeat(self):
+        """Each change makes digests differ for a moment; a complete offer for each is 20 KB."""
+        state = node()
+        take(state["store"], section_item("a", 1))
+        other = Heartbeat(1, 0, 0, False)
+        self.assertEqual(decide_on_digest(state, "vm-1", other, 10.0), DigestMismatch(False))
+        state["gossip"]["mismatch_since"]["vm-1"] = 10.0
+        self.assertEqual(decide_on_digest(state, "vm-1", other, 12.0), DigestMismatch(True))
+        state["gossip"]["offered_at"]["vm-1"] = 12.0
+        self.assertEqual(decide_on_digest(state, "vm-1", other, 14.0), DigestMismatch(False))
+        due = 12.0 + OFFER_ALL_INTERVAL_S
+        self.assertEqual(decide_on_digest(state, "vm-1", other, due), DigestMismatch(True))
+
+
+class ReadinessTest(unittest.TestCase):
+    def test_empty_node_is_not_ready_and_says_why(self):
+        """A node without sections would refuse calls as unknown that it should serve."""
+        state = node()
+        self.assertEqual(len(reasons_not_ready(state, 0.0)), 2)
+        self.assertFalse(node_status(state, 0.0)["ready"])
+        take(state["store"], section_item("a", 1))
+        take(state["store"], vm_list_item("domain-0", 2, [("vm-0", "drafts")]))
+        self.assertEqual(reasons_not_ready(state, 0.0), [])
+
+    def test_new_vm_waits_a_while_for_the_last_good_version(self):
+        """A VM that starts during a broken edit must ask its peers before it serves."""
+        state = node()
+        take(state["store"], section_item("a", 1))
+        take(state["store"], vm_list_item("domain-0", 2, [("vm-0", "drafts")]))
+        take(state["store"], broken_item("b", 3))
+        self.assertEqual(len(reasons_not_ready(state, 1.0)), 1)
+        self.assertEqual(reasons_not_ready(state, 6.0), [])
