--- /dev/null
+++ b/tests/slow/test_replication_path.py
@@ -0,0 +1,79 @@
+"""Guards the exchange of published items between real processes."""
+
+import json
+import signal
+import time
+import unittest
+import urllib.request
+from pathlib import Path
+
+from jacinthsail.testing.mesh import PLATFORM, Mesh, MeshVm
+
+SAMPLES = Path(__file__).resolve().parents[2] / "samples"
+DRAFTS = (SAMPLES / "stenonet-drafts.toml").read_text()
+NEW_VM = "drafts-3"
+VMS = (
+    MeshVm("drafts-1", "drafts", "manila", "luzon"),
+    MeshVm("drafts-2", "drafts", "davao", "mindanao"),
+    MeshVm(NEW_VM, "drafts", "manila", "luzon"),
+)
+
+
+class ReplicationPathTest(unittest.TestCase):
+    def setUp(self):
+        self.mesh = Mesh(VMS, {"drafts": DRAFTS}).__enter__()
+        self.addCleanup(self.mesh.__exit__, None, None, None)
+
+    def set_platform(self, mode):
+        body = json.dumps({"mode": mode}).encode()
+        url = self.mesh.control_url("", PLATFORM)
+        with urllib.request.urlopen(urllib.request.Request(url, data=body, method="POST")):
+            pass
+
+    def restart_new_vm(self):
+        self.mesh.signal_process(NEW_VM, "node", signal.SIGKILL)
+        while self.mesh.exit_code(NEW_VM, "node") is None:
+            time.sleep(0.05)
+        self.mesh.start_process(NEW_VM, "node")
+
+    def status_once(self, vm, predicate, seconds=20.0):
+        """Return the status page as soon as it satisfies the predicate."""
+        latest = time.monotonic() + seconds
+        while time.monotonic() < latest:
+            status = self.mesh.status(vm)
+            if status is not None and predicate(status):
+                return status
+            time.sleep(0.1)
+        return self.fail(f"status of {vm} after {seconds} s: {self.mesh.status(vm)}")
+
+    def test_new_vm_starts_from_a_seed_while_the_platform_is_down(self):
+        """A VM that starts during an outage of the platform would serve nothing until its end."""
+        port = self.mesh.ports["drafts-1"].relay
+        seeds = f'[[seeds]]\nhost = "127.0.0.1"\nport = {port}\n'
+        self.mesh.settings_of_vm = {NEW_VM: seeds}
+        self.set_platform("down")
+        self.restart_new_vm()
+        status = self.status_once(NEW_VM, lambda status: status["ready"])
+        self.assertIn("section/drafts", status["sections"])
+        self.assertEqual(self.mesh.call(NEW_VM, "drafts", "view", b"p").outcome, "answered")
+
+    def test_new_vm_that_reaches_nothing_says_so(self):
+        """An operator must see why a VM does not serve."""
+        self.set_platform("down")
+        self.restart_new_vm()
+        status = self.status_once(NEW_VM, lambda status: True)
+        self.assertFalse(status["ready"])
+        self.assertEqual(len(status["not_ready_because"]), 2)
+        self.set_platform("normal")
+        self.status_once(NEW_VM, lambda status: status["ready"])
+
+    def test_new_vm_learns_the_last_good_version_from_peers(self):
+        """The platform holds only the broken version; the good one would be lost to new VMs."""
+        self.mesh.publish("section/drafts", b"owner = ")
+        for vm in ("drafts-1", "drafts-2"):
+            self.status_once(vm, lambda status: status["sections"]["section/drafts"]["errors"])
+        self.restart_new_vm()
+        status = self.status_once(NEW_VM, lambda status: status["ready"])
+        section = status["sections"]["section/drafts"]
+        self.assertEqual((section["version"], bool(section["errors"])), (1, True))
+        self.assertEqual(self.mesh.call(NEW_VM, "drafts", "view", b"p").outcome, "answered")
