--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -50,6 +50,10 @@
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
 
+# The last replies must reach the kernel before the loop ends; a peer that reads nothing is left.
+FLUSH_TIMEOUT_S = 1.0
+FLUSH_POLL_S = 0.01
+
 ServeOwn = Callable[[Call], Awaitable[Outcome]]
 AbandonOwn = Callable[[CallHead], None]
 
@@ -86,6 +90,9 @@
             opening.cancel()
         for connection in self.open_connections():
             connection.close()
+        latest = asyncio.get_running_loop().time() + FLUSH_TIMEOUT_S
+        while self.open_connections() and asyncio.get_running_loop().time() < latest:
+            await asyncio.sleep(FLUSH_POLL_S)
 
     def open_connections(self) -> list[PeerConnection]:
         """Return the connections in both directions."""
@@ -114,10 +121,11 @@
             await asyncio.sleep(CHECK_S)
             now = loop.time()
             for connection in self.open_connections():
-                self._check(connection, now, last_check)
+                self.check(connection, now, last_check)
             last_check = now
 
-    def _check(self, connection: PeerConnection, now: float, last_check: float) -> None:
+    def check(self, connection: PeerConnection, now: float, last_check: float) -> None:
+        """Act on what is known of one connection, and send its heartbeat when it is due."""
         if not connection.is_open():
             return
         detects_silence = not self.is_disabled(Mechanism.SILENCE_DETECTION)
@@ -239,8 +247,24 @@
         except (OSError, TimeoutError):
             self.suspect(entry.vm)
             return None
-        self.connections[entry.vm] = connection
+        return await self._greet(entry, connection)
+
+    async def _greet(self, entry: VmEntry, connection: PeerConnection) -> PeerConnection | None:
+        """Wait for the hello of the peer before a call is sent.
+
+        The kernel accepts connections for a frozen process, and an address may belong to another
+        VM by now; calls sent without the hello would be unknown instead of not-run.
+        """
         self.say_hello(connection)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await connection.greeted.wait()
+        except TimeoutError:
+            connection.abort()
+        if not connection.is_open():
+            self.suspect(entry.vm)
+            return None
+        self.connections[entry.vm] = connection
         return connection
 
     def traffic_with(self, vm: str) -> TrafficState:
@@ -372,6 +396,7 @@
         # The address now belongs to another VM than the one that was meant.
         connection.abort()
         return
+    connection.greeted.set()
     connection.peer_vm = message.vm
     connection.traffic = pool.traffic_with(message.vm)
     record_hello(pool.node_state["peers"], message, connection.last_received)
--- a/src/jacinthsail/internal/model/settings.py
+++ b/src/jacinthsail/internal/model/settings.py
@@ -31,7 +31,10 @@
 
 
 class NodeSettings(NamedTuple):
-    """Everything a node must be told before it starts."""
+    """Everything a node must be told before it starts.
+
+    ``seeds`` are relay ports of peers, asked only while no VM list is known.
+    """
 
     vm: str
     failure_domain: str
@@ -42,8 +45,8 @@
     operators: Endpoint
     target: Endpoint
     platform: Endpoint
-    seeds: tuple[Endpoint, ...]
     cross_region_bytes_per_s: int
     ledger_entries: int
     log_buffer_lines: int
     disabled: frozenset[Mechanism]
+    seeds: tuple[Endpoint, ...] = ()
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -54,6 +54,7 @@
             "next_sequence": 1,
         },
         peers={},
+        leaving={"stopping": False, "draining_answers": 0},
     )
 
 
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -50,7 +50,7 @@
         if entry.vm in tried or entry.vm == state["settings"].vm:
             continue
         peer = state["peers"].get(entry.vm)
-        if heeds_leaving and is_leaving(state, entry):
+        if heeds_leaving and takes_no_new_work(state, entry):
             continue
         if peer is not None and now < peer["suspected_until"]:
             continue
@@ -58,7 +58,7 @@
     return usable
 
 
-def is_leaving(state: NodeState, entry: VmEntry) -> bool:
+def takes_no_new_work(state: NodeState, entry: VmEntry) -> bool:
     """Tell whether a VM takes no new work, from its list or from its own node."""
     if entry.status is VmStatus.LEAVING:
         return True
--- a/tests/fast/test_membership.py
+++ b/tests/fast/test_membership.py
@@ -32,7 +32,7 @@
     draw_silence,
     retry_delay,
 )
-from jacinthsail.internal.queries.routing import is_leaving
+from jacinthsail.internal.queries.routing import takes_no_new_work
 from jacinthsail.internal.queries.settings import parse_settings
 from tests.common.replicas import node, node_settings, take, vm_list_item
 
@@ -195,11 +195,11 @@
         state = node()
         take(state["store"], vm_list_item("domain-0", 1, [("vm-1", "drafts")]))
         entry = state["store"]["vm_entries"]["vm-1"]
-        self.assertFalse(is_leaving(state, entry))
-        self.assertTrue(is_leaving(state, entry._replace(status=VmStatus.LEAVING)))
+        self.assertFalse(takes_no_new_work(state, entry))
+        self.assertTrue(takes_no_new_work(state, entry._replace(status=VmStatus.LEAVING)))
         record_hello(state["peers"], Hello("vm-1", "i", "domain-0", "drafts"), 0.0)
         record_draining(state["peers"]["vm-1"])
-        self.assertTrue(is_leaving(state, entry))
+        self.assertTrue(takes_no_new_work(state, entry))
 
 
 class LinkBudgetTest(unittest.TestCase):
