Let version order be switched off in full, and reject malformed VM lists

With the mechanism off, old copies were still not asked for, so a scenario without it could not show the fault. A VM list without its failure domain raised KeyError outside the checked part and ended the platform task.

--- a/src/jacinthsail/internal/adapters/gossip.py
+++ b/src/jacinthsail/internal/adapters/gossip.py
@@ -150,7 +150,7 @@
     state = pool.node_state
     if Mechanism.PEER_LEARNING in state["settings"].disabled:
         return
-    ask = decide_ask(state["store"], message)
+    ask = decide_ask(state["store"], message, state["settings"].disabled)
     if ask.names:
         connection.send(ask)
     if not message.complete:
--- a/src/jacinthsail/internal/adapters/platform.py
+++ b/src/jacinthsail/internal/adapters/platform.py
@@ -24,6 +24,7 @@
     ReadPlatform,
     WatchPlatform,
 )
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.documents import digest_of
 from jacinthsail.internal.queries.replication import (
@@ -84,11 +85,9 @@
         """Read what changed, waiting up to ``wait_s`` for it; delays after a failure."""
         platform = self.node_state["platform"]
         try:
-            change = await self._changes(wait_s)
+            change = await self._changes(wait_s, platform["revision"])
             if is_stale(self.node_state["store"], platform, change):
-                record_stale_platform(platform)
-                # What an old platform holds is still news to a node that holds less.
-                await self._read_items(change)
+                await self._take_stale(change)
             else:
                 await self._take_change(change)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
@@ -96,9 +95,8 @@
         if platform["failures"] > 0:
             await self.sleep(retry_delay(platform["failures"], self.random))
 
-    async def _changes(self, wait_s: float) -> PlatformChange:
+    async def _changes(self, wait_s: float, after: int) -> PlatformChange:
         count_platform_read(self.node_state["platform"], asyncio.get_running_loop().time())
-        after = self.node_state["platform"]["revision"]
         url = f"{self.base_url}/watch?after={after}&timeout={wait_s}"
         async with asyncio.timeout(wait_s + READ_TIMEOUT_S), self.session.get(url) as response:
             response.raise_for_status()
@@ -106,6 +104,14 @@
         versions = tuple((str(item["name"]), int(item["version"])) for item in table["items"])
         return PlatformChange(int(table["revision"]), int(table["as_of_ms"]), versions)
 
+    async def _take_stale(self, change: PlatformChange) -> None:
+        record_stale_platform(self.node_state["platform"])
+        if Mechanism.VERSION_ORDER in self.node_state["settings"].disabled:
+            # Without the mechanism the node follows the platform back to its older versions.
+            change = await self._changes(0.0, after=0)
+        # What an old platform holds is still news to a node that holds less.
+        await self._read_items(change)
+
     async def _take_change(self, change: PlatformChange) -> None:
         await self._read_items(change)
         store = self.node_state["store"]
@@ -118,7 +124,8 @@
         confirm_versions(store, change.as_of_ms, now)
 
     async def _read_items(self, change: PlatformChange) -> None:
-        for name in names_to_read(self.node_state["store"], change):
+        disabled = self.node_state["settings"].disabled
+        for name in names_to_read(self.node_state["store"], change, disabled):
             await self._read_item(name)
 
     async def _read_item(self, name: str) -> None:
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -173,21 +173,26 @@
     )
 
 
-def decide_ask(store: StoreState, offer: Offer) -> Ask:
+def decide_ask(
+    store: StoreState, offer: Offer, disabled: frozenset[Mechanism] = frozenset()
+) -> Ask:
     """Return a request for what the offer holds and this node lacks."""
     names: list[str] = []
     for version in offer.versions:
-        if version.name in names or not _lacks(store, version):
+        if version.name in names or not _lacks(store, version, disabled):
             continue
         names.append(version.name)
     return Ask(tuple(names))
 
 
-def _lacks(store: StoreState, version: ItemVersion) -> bool:
+def _lacks(store: StoreState, version: ItemVersion, disabled: frozenset[Mechanism]) -> bool:
     rejected = store["rejected"].get(version.name)
     if rejected is not None and rejected.version == version.version:
         return False
-    return version.version > version_in_force(store, version.name)
+    in_force = version_in_force(store, version.name)
+    if Mechanism.VERSION_ORDER in disabled:
+        return version.version != in_force
+    return version.version > in_force
 
 
 def decide_counter_offer(store: StoreState, offer: Offer) -> Offer:
@@ -252,11 +257,14 @@
     return change.revision < max(store["revision"], platform["revision"])
 
 
-def names_to_read(store: StoreState, change: PlatformChange) -> list[str]:
+def names_to_read(
+    store: StoreState, change: PlatformChange, disabled: frozenset[Mechanism] = frozenset()
+) -> list[str]:
     """Return the changed items of which this node has not seen the published version."""
     names = []
     for name, version in change.versions:
-        if version > store["newest_seen"].get(name, 0):
+        goes_back = Mechanism.VERSION_ORDER in disabled and version != version_in_force(store, name)
+        if goes_back or version > store["newest_seen"].get(name, 0):
             names.append(name)
     return names
 
--- a/src/jacinthsail/internal/queries/vm_lists.py
+++ b/src/jacinthsail/internal/queries/vm_lists.py
@@ -15,22 +15,24 @@
     """Return the VM list in a JSON text as the platform publishes it."""
     try:
         table = json.loads(body)
+        failure_domain = str(table["failure_domain"])
         entries = tuple(_entry_of(entry) for entry in table["vms"])
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, OverflowError) as error:
         return Failure(MalformedMessage(name, f"{type(error).__name__}: {error}"))
-    return Success(VmList(table["failure_domain"], version, as_of_ms, entries))
+    return Success(VmList(failure_domain, version, as_of_ms, entries))
 
 
 def _entry_of(table: dict[str, Any]) -> VmEntry:
+    leaving_at_ms = dict(table).get("leaving_at_ms")
     return VmEntry(
-        vm=table["vm"],
-        host=table["host"],
-        callers_port=table["callers_port"],
-        relay_port=table["relay_port"],
-        failure_domain=table["failure_domain"],
-        region=table["region"],
-        service=table["service"],
+        vm=str(table["vm"]),
+        host=str(table["host"]),
+        callers_port=int(table["callers_port"]),
+        relay_port=int(table["relay_port"]),
+        failure_domain=str(table["failure_domain"]),
+        region=str(table["region"]),
+        service=str(table["service"]),
         status=VmStatus(table["status"]),
-        listed_at_ms=table["listed_at_ms"],
-        leaving_at_ms=table.get("leaving_at_ms"),
+        listed_at_ms=int(table["listed_at_ms"]),
+        leaving_at_ms=None if leaving_at_ms is None else int(leaving_at_ms),
     )
--- a/tests/fast/test_replication.py
+++ b/tests/fast/test_replication.py
@@ -1,5 +1,6 @@
 """Guards the versions in force: they only go up, and every node ends with the same ones."""
 
+import json
 import unittest
 
 from hypothesis import given, settings
@@ -11,10 +12,11 @@
     install_item,
     record_platform_change,
 )
-from jacinthsail.internal.model.messages import Heartbeat
+from jacinthsail.internal.model.messages import Heartbeat, Offer
 from jacinthsail.internal.model.replication import (
     DigestMatch,
     DigestMismatch,
+    ItemVersion,
     PlatformChange,
 )
 from jacinthsail.internal.model.settings import Mechanism
@@ -27,6 +29,7 @@
 )
 from jacinthsail.internal.queries.replication import (
     OFFER_ALL_INTERVAL_S,
+    decide_ask,
     decide_item,
     decide_on_digest,
     heartbeat_of,
@@ -51,6 +54,12 @@
 # The same examples in each run, so that a verdict does not depend on chance.
 STEADY = settings(derandomize=True, deadline=None, max_examples=150)
 
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda children: st.lists(children) | st.dictionaries(st.text(), children),
+    max_leaves=8,
+)
+
 NAMES = ("section/a", "section/b", "vms/domain-0")
 
 
@@ -133,6 +142,18 @@
         take(store, section_item("a", 1), disabled=frozenset({Mechanism.VERSION_ORDER}))
         self.assertEqual(version_in_force(store, "section/a"), 1)
 
+    def test_version_order_disabled_asks_for_old_copies(self):
+        """The old copy must also be asked for, or the scenario would show no fault."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 2))
+        disabled = frozenset({Mechanism.VERSION_ORDER})
+        offer = Offer((ItemVersion("section/a", 1, "d"),), False)
+        self.assertEqual(decide_ask(store, offer).names, ())
+        self.assertEqual(decide_ask(store, offer, disabled).names, ("section/a",))
+        change = PlatformChange(1, 0, (("section/a", 1),))
+        self.assertEqual(names_to_read(store, change), [])
+        self.assertEqual(names_to_read(store, change, disabled), ["section/a"])
+
 
 class ExchangeTest(unittest.TestCase):
     @STEADY
@@ -272,6 +293,24 @@
         self.assertIsNone(service_policy(store, "drafts"))
         self.assertEqual(store["sections"], {})
 
+    @STEADY
+    @given(JSON, st.booleans())
+    def test_malformed_body_is_rejected_with_its_errors(self, table, is_list):
+        """A body that raises would end the node instead of leaving the last good version."""
+        store = initial_store(0.0)
+        name = "vms/domain-0" if is_list else "section/a"
+        if is_list and type(table) is list:
+            table = {"failure_domain": "domain-0", "vms": table}
+        take(store, item(name, 1, json.dumps(table)))
+        if name not in store["items"]:
+            self.assertTrue(store["rejected"][name].errors)
+
+    def test_vm_list_without_its_failure_domain_is_rejected(self):
+        """A missing key outside the checked part of the list ended the node."""
+        store = initial_store(0.0)
+        take(store, item("vms/domain-0", 1, '{"vms": []}'))
+        self.assertIn("vms/domain-0", store["rejected"])
+
 
 class EffectTest(unittest.TestCase):
     def test_edit_of_another_service_keeps_the_limiter(self):
