Refuse calls as not ready until the document is known to be complete

A new VM called a class unknown while its section was still on the way, and callers give up for good on an unknown class. Copies for a slow peer stop when its buffer is full.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -16,14 +16,14 @@
 from jacinthsail.internal.adapters.target import call_target
 from jacinthsail.internal.commands.retries import grant_allowance, spend_retry, take_allowance
 from jacinthsail.internal.model.admission import QueuedCall
-from jacinthsail.internal.model.calls import Call, NotRun, Outcome, Reason
+from jacinthsail.internal.model.calls import Call, NotRun, Outcome
 from jacinthsail.internal.model.decisions import DecisionKind
 from jacinthsail.internal.model.document import ClassPolicy
 from jacinthsail.internal.model.routing import Refused, ToOwnTarget, ToPeer
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.decision_lines import decision_line, line_of
 from jacinthsail.internal.queries.limits import sample_of
-from jacinthsail.internal.queries.lookup import class_policy
+from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy
 from jacinthsail.internal.queries.retries import allowance_of, decide_retry
 from jacinthsail.internal.queries.routing import decide_route, vm_of
 
@@ -50,7 +50,7 @@
         head = call.head
         policy = class_policy(self.node_state["store"], head.service, head.call_class)
         if policy is None:
-            return NotRun(Reason.UNKNOWN_CLASS, 0)
+            return NotRun(reason_without_policy(self.node_state["store"]), 0)
         if head.depth > 0:
             return await self._serve_with_retries(call, policy)
         retries = self.node_state["retries"]
--- a/src/jacinthsail/internal/adapters/gossip.py
+++ b/src/jacinthsail/internal/adapters/gossip.py
@@ -164,6 +164,9 @@
 @handle_message.register
 def _(message: Ask, pool: RelayPool, connection: PeerConnection) -> None:
     for item in copies_of(pool.node_state["store"], message):
+        if not connection.has_room():
+            # The peer asks again after the next complete offer.
+            return
         connection.send(ItemCopy(item))
 
 
--- a/src/jacinthsail/internal/queries/lookup.py
+++ b/src/jacinthsail/internal/queries/lookup.py
@@ -3,7 +3,7 @@
 They are on the request path, so each reads an index that changes only with the items behind it.
 """
 
-from jacinthsail.internal.model.calls import CallHead
+from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.document import ClassPolicy, Execution, ServicePolicy
 from jacinthsail.internal.model.membership import Distance, VmEntry
 from jacinthsail.internal.model.replication import StoreState
@@ -26,6 +26,17 @@
     return in_force.policy.classes.get(call_class)
 
 
+def reason_without_policy(store: StoreState) -> Reason:
+    """Return why a call is refused of which no section in force describes the class.
+
+    Before the first confirmation the section may exist and not have arrived yet, so the class must
+    not be called unknown.
+    """
+    if store["as_of_ms"] == 0:
+        return Reason.NOT_READY
+    return Reason.UNKNOWN_CLASS
+
+
 def vm_entry(store: StoreState, vm: str) -> VmEntry | None:
     """Return the published entry of a VM, or None when no list holds it."""
     return store["vm_entries"].get(vm)
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -9,7 +9,7 @@
 from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.lookup import class_policy, vms_of_service
+from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy, vms_of_service
 
 
 def decide_route(
@@ -24,7 +24,7 @@
     settings = state["settings"]
     policy = class_policy(store, head.service, head.call_class)
     if policy is None:
-        return Refused(Reason.UNKNOWN_CLASS)
+        return Refused(reason_without_policy(store))
     if now >= head.deadline:
         return Refused(Reason.DEADLINE_EXPIRED)
     if settings.service == head.service and settings.vm not in tried and not is_draining(state):
--- a/tests/fast/test_replication.py
+++ b/tests/fast/test_replication.py
@@ -12,6 +12,7 @@
     install_item,
     record_platform_change,
 )
+from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.messages import Heartbeat, Offer
 from jacinthsail.internal.model.replication import (
     DigestMatch,
@@ -23,6 +24,7 @@
 from jacinthsail.internal.queries.initial import initial_store
 from jacinthsail.internal.queries.lookup import (
     class_policy,
+    reason_without_policy,
     service_policy,
     vm_entry,
     vms_of_service,
@@ -400,6 +402,14 @@
         take(state["store"], vm_list_item("domain-0", 2, [("vm-0", "drafts")]))
         self.assertEqual(reasons_not_ready(state, 0.0), [])
 
+    def test_class_is_not_called_unknown_before_the_first_confirmation(self):
+        """A caller told that a class does not exist gives up for good."""
+        store = initial_store(0.0)
+        take(store, section_item("a", 1))
+        self.assertIs(reason_without_policy(store), Reason.NOT_READY)
+        confirm_versions(store, 1000, 0.0)
+        self.assertIs(reason_without_policy(store), Reason.UNKNOWN_CLASS)
+
     def test_new_vm_waits_a_while_for_the_last_good_version(self):
         """A VM that starts during a broken edit must ask its peers before it serves."""
         state = node()
