Give mesh processes ports that no outgoing connection takes

At 100 nodes a connection between nodes took the port of a process that had not started yet: 'address already in use', and the node was never ready. Ports now come from below the kernel's range for outgoing connections.

--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -55,11 +56,28 @@
     body: str
 
 
+# Below the range from which the kernel takes the ports of outgoing connections. From that range, a
+# connection between nodes took the port of a process that had not started yet.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
+    """Return a port of 127.0.0.1 that is free now and was not returned before."""
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            # As servers do; otherwise ports of connections that ended a moment ago look taken.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
         return port
 
 
