--- a/src/jacinthsail/internal/adapters/metrics.py
+++ b/src/jacinthsail/internal/adapters/metrics.py
@@ -7,7 +7,6 @@
 
 from jacinthsail.internal.adapters.headers import outcome_name, outcome_reason
 from jacinthsail.internal.model.calls import CallHead, Outcome
-from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.limits import limit_of
 
@@ -29,6 +28,7 @@
         self.limit = self._gauge("limit", "Calls that may be in flight to the own target")
         self.threshold = self._gauge("threshold", "Lowest rank that is admitted")
         self.peers = self._gauge("peers", "Peers known to this node")
+        self.platform_reads = self._gauge("platform_reads", "Reads of the platform since the start")
         self.control_bytes = self._gauge(
             "control_bytes", "Bytes of control messages between nodes since the start"
         )
@@ -41,7 +41,7 @@
         name = outcome_name(outcome)
         self.counts[head.service, head.call_class, name, outcome_reason(outcome)] += 1
 
-    def update(self, state: NodeState, traffic: TrafficState) -> None:
+    def update(self, state: NodeState) -> None:
         """Set the gauges from the state of the node."""
         for (service, call_class, name, reason), count in self.counts.items():
             labels = {"service": service, "class": call_class, "outcome": name, "reason": reason}
@@ -52,8 +52,12 @@
         self.limit.set({}, limit_of(admission["limiter"]))
         self.threshold.set({}, admission["threshold"])
         self.peers.set({}, len(state["peers"]))
-        self.control_bytes.set({"direction": "sent"}, traffic["control_bytes_sent"])
-        self.control_bytes.set({"direction": "received"}, traffic["control_bytes_received"])
+        self.platform_reads.set({}, state["platform"]["reads"])
+        for distance, traffic in state["control"].items():
+            sent = {"distance": distance.value, "direction": "sent"}
+            received = {"distance": distance.value, "direction": "received"}
+            self.control_bytes.set(sent, traffic["control_bytes_sent"])
+            self.control_bytes.set(received, traffic["control_bytes_received"])
 
     def page(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers in a format that the client accepts."""
--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -11,6 +11,7 @@
 
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
 from jacinthsail.internal.adapters.frontend import Frontend
+from jacinthsail.internal.adapters.gossip import Gossip
 from jacinthsail.internal.adapters.metrics import NodeMetrics
 from jacinthsail.internal.adapters.operators import OperatorsPort
 from jacinthsail.internal.adapters.platform import PlatformClient
@@ -60,9 +61,14 @@
         metrics = NodeMetrics()
         self.frontend = Frontend(self.node_state, self.dispatcher, metrics)
         health = TargetHealth(self.session, self.settings.target, self.node_state["leaving"])
-        operators = OperatorsPort(self.node_state, self.relay_pool.traffic, metrics)
+        operators = OperatorsPort(self.node_state, metrics)
         await self.add_runtime_dependency(self.relay_pool)
-        await self.add_runtime_dependency(PlatformClient(self.node_state, self.session))
+        gossip = Gossip(self.node_state, self.relay_pool, Random(f"{incarnation} gossip"))
+        platform = PlatformClient(
+            self.node_state, self.session, Random(f"{incarnation} platform"), gossip.spread
+        )
+        await self.add_runtime_dependency(gossip)
+        await self.add_runtime_dependency(platform)
         await self.add_runtime_dependency(operators)
         await self.add_runtime_dependency(health)
         await self.add_runtime_dependency(self.frontend)
--- a/src/jacinthsail/internal/adapters/operators.py
+++ b/src/jacinthsail/internal/adapters/operators.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 
 from jacinthsail.internal.adapters.metrics import NodeMetrics
-from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.status import node_status
 
@@ -17,12 +16,9 @@
 class OperatorsPort(mode.Service):
     """Answers ``GET /status`` and ``GET /metrics``."""
 
-    def __init__(
-        self, state: NodeState, traffic: TrafficState, metrics: NodeMetrics, **kwargs: Any
-    ) -> None:
+    def __init__(self, state: NodeState, metrics: NodeMetrics, **kwargs: Any) -> None:
         super().__init__(**kwargs)
         self.node_state = state
-        self.traffic = traffic
         self.metrics = metrics
         self.server = web.Server(self.handle, access_log=None)
         self.listener: asyncio.Server | None = None
@@ -43,12 +39,14 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one HTTP request."""
         if request.path == "/status":
-            return web.json_response(node_status(self.node_state))
+            return web.json_response(
+                node_status(self.node_state, asyncio.get_running_loop().time())
+            )
         if request.path == "/metrics":
             return self._metrics(request)
         return web.Response(status=404, text="GET /status or /metrics\n")
 
     def _metrics(self, request: web.BaseRequest) -> web.Response:
-        self.metrics.update(self.node_state, self.traffic)
+        self.metrics.update(self.node_state)
         content, response_headers = self.metrics.page(request.headers.getall("Accept", []))
         return web.Response(body=content, headers=response_headers)
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -8,6 +8,7 @@
 import mode
 
 from jacinthsail.internal.adapters.connection import PeerConnection, PendingCall, ServedCall
+from jacinthsail.internal.commands.membership import spend_link_budget
 from jacinthsail.internal.commands.peers import (
     change_in_flight,
     introduce_peer,
@@ -38,7 +39,8 @@
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.admission import advertised_threshold
-from jacinthsail.internal.queries.lookup import is_at_most_once, is_same_call
+from jacinthsail.internal.queries.lookup import distance_of, is_at_most_once, is_same_call
+from jacinthsail.internal.queries.membership import may_cross_region
 from jacinthsail.internal.queries.peers import (
     CHECK_S,
     HEARTBEAT_S,
@@ -76,7 +78,6 @@
         self.connections: dict[str, PeerConnection] = {}
         self.opening: dict[str, asyncio.Future[PeerConnection | None]] = {}
         self.inbound: set[PeerConnection] = set()
-        self.traffic: TrafficState = {"control_bytes_sent": 0, "control_bytes_received": 0}
         self.server: asyncio.Server | None = None
         self.serve_own: ServeOwn | None = None
         self.abandon_own: AbandonOwn | None = None
@@ -113,7 +114,7 @@
             connection.send(Goodbye())
 
     def _accept(self) -> PeerConnection:
-        connection = PeerConnection(self.receive, self._closed, self.traffic)
+        connection = PeerConnection(self.receive, self._closed, self.traffic_with(""))
         self.inbound.add(connection)
         return connection
 
@@ -143,6 +144,8 @@
     async def call(self, entry: VmEntry, call: Call) -> Outcome:
         """Relay a call to the node of another VM and return its outcome."""
         head = call.head
+        if not self._charge_link(entry, call):
+            return NotRun(Reason.LINK_BUDGET_SPENT, head.retries_left)
         connection = await self._connection_within(entry, head.deadline)
         if connection is None or not connection.has_room():
             self.suspect(entry.vm)
@@ -212,6 +215,18 @@
         except TimeoutError:
             return None
 
+    def _charge_link(self, entry: VmEntry, call: Call) -> bool:
+        """Charge a call that crosses regions; return False when the budget is spent."""
+        settings = self.node_state["settings"]
+        if entry.region == settings.region:
+            return True
+        budget = self.node_state["link_budget"]
+        now = asyncio.get_running_loop().time()
+        if not may_cross_region(budget, settings.cross_region_bytes_per_s, now):
+            return False
+        spend_link_budget(budget, settings.cross_region_bytes_per_s, len(call.body), now)
+        return True
+
     async def connection_to(self, entry: VmEntry) -> PeerConnection | None:
         """Return an open connection to a peer, or None when it cannot be reached."""
         connection = self.connections.get(entry.vm)
@@ -227,10 +242,11 @@
     async def _open(self, entry: VmEntry) -> PeerConnection | None:
         loop = asyncio.get_running_loop()
         introduce_peer(self.node_state["peers"], entry.vm, loop.time())
+        traffic = self.traffic_with(entry.vm)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: PeerConnection(self.receive, self._closed, self.traffic, entry),
+                    lambda: PeerConnection(self.receive, self._closed, traffic, entry),
                     entry.host,
                     entry.relay_port,
                 )
@@ -257,6 +273,10 @@
         self.connections[entry.vm] = connection
         return connection
 
+    def traffic_with(self, vm: str) -> TrafficState:
+        """Return the counters for control messages to and from a VM."""
+        return self.node_state["control"][distance_of(self.node_state, vm)]
+
     def say_hello(self, connection: PeerConnection) -> None:
         """Introduce this node on a connection."""
         settings = self.node_state["settings"]
@@ -374,12 +394,14 @@
 
 @handle_message.register
 def _(message: Hello, pool: RelayPool, connection: PeerConnection) -> None:
-    if connection.entry is not None and message.vm != connection.entry.vm:
+    meant = connection.entry
+    if meant is not None and meant.failure_domain and message.vm != meant.vm:
         # The address now belongs to another VM than the one that was meant.
         connection.abort()
         return
     connection.greeted.set()
     connection.peer_vm = message.vm
+    connection.traffic = pool.traffic_with(message.vm)
     record_hello(pool.node_state["peers"], message, connection.last_received)
     if not connection.said_hello:
         pool.say_hello(connection)
--- a/src/jacinthsail/internal/model/peers.py
+++ b/src/jacinthsail/internal/model/peers.py
@@ -24,7 +24,7 @@
 
 
 class TrafficState(TypedDict):
-    """Bytes of control messages over all peer connections since the start."""
+    """Bytes of control messages over the connections to peers at one distance, since the start."""
 
     control_bytes_sent: int
     control_bytes_received: int
--- a/src/jacinthsail/internal/model/settings.py
+++ b/src/jacinthsail/internal/model/settings.py
@@ -31,7 +31,10 @@
 
 
 class NodeSettings(NamedTuple):
-    """Everything a node must be told before it starts."""
+    """Everything a node must be told before it starts.
+
+    ``seeds`` are relay ports of peers, asked only while no VM list is known.
+    """
 
     vm: str
     failure_domain: str
@@ -46,3 +49,4 @@
     ledger_entries: int
     log_buffer_lines: int
     disabled: frozenset[Mechanism]
+    seeds: tuple[Endpoint, ...] = ()
--- a/src/jacinthsail/internal/model/state.py
+++ b/src/jacinthsail/internal/model/state.py
@@ -6,8 +6,13 @@
 from jacinthsail.internal.model.clock import ClockState
 from jacinthsail.internal.model.idempotency import LedgerState
 from jacinthsail.internal.model.leaving import LeavingState
-from jacinthsail.internal.model.peers import PeerState
-from jacinthsail.internal.model.replication import StoreState
+from jacinthsail.internal.model.membership import Distance, LinkBudget
+from jacinthsail.internal.model.peers import PeerState, TrafficState
+from jacinthsail.internal.model.replication import (
+    GossipState,
+    PlatformState,
+    StoreState,
+)
 from jacinthsail.internal.model.retries import RetryState
 from jacinthsail.internal.model.settings import NodeSettings
 
@@ -18,6 +23,10 @@
     settings: NodeSettings
     clock: ClockState
     store: StoreState
+    platform: PlatformState
+    gossip: GossipState
+    control: dict[Distance, TrafficState]
+    link_budget: LinkBudget
     admission: AdmissionState
     retries: RetryState
     ledger: LedgerState
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -5,9 +5,12 @@
 from sortedcontainers import SortedKeyList
 
 from jacinthsail.internal.model.admission import AdmissionState, FixedLimit
+from jacinthsail.internal.model.membership import Distance
+from jacinthsail.internal.model.replication import StoreState
 from jacinthsail.internal.model.settings import Mechanism, NodeSettings
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.admission import arrival_order, queue_order
+from jacinthsail.internal.queries.replication import EMPTY_DIGEST, PLATFORM_READ_BURST
 
 
 def initial_state(settings: NodeSettings, incarnation: str, now: float, now_ms: int) -> NodeState:
@@ -15,14 +18,30 @@
     return NodeState(
         settings=settings,
         clock={"started_at": now, "started_at_ms": now_ms, "last_seen": now, "pauses": 0},
-        store={
-            "items": {},
-            "sections": {},
-            "vm_lists": {},
-            "newest_seen": {},
-            "rejected": {},
-            "as_of_ms": 0,
-            "changed_at": now,
+        store=initial_store(now),
+        platform={
+            "revision": 0,
+            "stale": False,
+            "reads": 0,
+            "failures": 0,
+            "tokens": PLATFORM_READ_BURST,
+            "tokens_at": now,
+        },
+        gossip={
+            "chosen": frozenset(),
+            "next_attempt": {},
+            "failures": {},
+            "offered_at": {},
+            "mismatch_since": {},
+            "complete_offers_heard": 0,
+        },
+        control={
+            distance: {"control_bytes_sent": 0, "control_bytes_received": 0}
+            for distance in Distance
+        },
+        link_budget={
+            "tokens": float(settings.cross_region_bytes_per_s),
+            "updated_at": now,
         },
         admission=initial_admission(now, settings.disabled),
         retries={"disabled": settings.disabled, "budgets": {}, "allowances": {}},
@@ -39,6 +58,27 @@
     )
 
 
+def initial_store(now: float) -> StoreState:
+    """Return a store without any item."""
+    return {
+        "items": {},
+        "sections": {},
+        "vm_lists": {},
+        "newest_seen": {},
+        "rejected": {},
+        "as_of_ms": 0,
+        "confirmed_at": now,
+        "changed_at": now,
+        "revision": 0,
+        "digest": EMPTY_DIGEST,
+        "services": {},
+        "claimants": {},
+        "vm_entries": {},
+        "service_vms": {},
+        "membership_changes": 0,
+    }
+
+
 def initial_admission(now: float, disabled: frozenset[Mechanism]) -> AdmissionState:
     """Return an admission state that refuses everything until a section sets its sizes."""
     order = arrival_order if Mechanism.IMPORTANCE in disabled else queue_order
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -10,7 +10,7 @@
 from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.lookup import class_policy, vms_of_service
+from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy, vms_of_service
 
 # A peer that gets no calls sends no replies, so an old threshold would keep refusing for it until
 # its next heartbeat; after this time a call is sent to learn the present one.
@@ -29,7 +29,7 @@
     settings = state["settings"]
     policy = class_policy(store, head.service, head.call_class)
     if policy is None:
-        return Refused(Reason.UNKNOWN_CLASS)
+        return Refused(reason_without_policy(store))
     if now >= head.deadline:
         return Refused(Reason.DEADLINE_EXPIRED)
     if settings.service == head.service and settings.vm not in tried and not is_draining(state):
@@ -54,13 +54,14 @@
     state: NodeState, entries: list[VmEntry], tried: frozenset[str], now: float
 ) -> list[VmEntry]:
     usable = []
+    heeds_leaving = Mechanism.LEAVING not in state["settings"].disabled
     for entry in entries:
         if entry.vm in tried or entry.vm == state["settings"].vm:
             continue
-        if entry.status is VmStatus.LEAVING:
-            continue
         peer = state["peers"].get(entry.vm)
-        if peer is not None and (peer["draining"] or now < peer["suspected_until"]):
+        if heeds_leaving and takes_no_new_work(state, entry):
+            continue
+        if peer is not None and now < peer["suspected_until"]:
             continue
         usable.append(entry)
     return usable
@@ -85,6 +86,14 @@
     return head.rank < peer["threshold"]
 
 
+def takes_no_new_work(state: NodeState, entry: VmEntry) -> bool:
+    """Tell whether a VM takes no new work, from its list or from its own node."""
+    if entry.status is VmStatus.LEAVING:
+        return True
+    peer = state["peers"].get(entry.vm)
+    return peer is not None and peer["draining"]
+
+
 def _by_distance(
     state: NodeState, candidates: list[VmEntry], policy: ClassPolicy
 ) -> list[list[VmEntry]]:
--- a/tests/common/loopback.py
+++ b/tests/common/loopback.py
@@ -49,7 +49,7 @@
     for version, name in enumerate(("drafts", "billing"), start=1):
         body = (SAMPLES / f"stenonet-{name}.toml").read_bytes()
         item = Item(f"section/{name}", version, "digest", body)
-        accept_item(state["store"], decide_item(state["store"], item, 0), now)
+        accept_item(state["store"], decide_item(state["store"], item), now)
     return state
 
 
--- a/tests/fast/test_early_refusal.py
+++ b/tests/fast/test_early_refusal.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from jacinthsail.internal.commands.peers import record_heartbeat, record_hello, record_threshold
+from jacinthsail.internal.commands.replication import accept_item
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.document import (
     ClassPolicy,
@@ -14,6 +15,7 @@
 )
 from jacinthsail.internal.model.membership import VmEntry, VmList, VmStatus
 from jacinthsail.internal.model.messages import Heartbeat, Hello
+from jacinthsail.internal.model.replication import Item, NewSection, NewVmList
 from jacinthsail.internal.model.routing import Refused, ToPeer
 from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
 from jacinthsail.internal.queries.initial import initial_state
@@ -46,13 +48,15 @@
     state = initial_state(settings, "i", 0.0, 0)
     view = ClassPolicy("view", 1, Execution.REPEATABLE, 2000, 2, SpillOver.REGION)
     service = service_policy_with(FixedLimitPolicy(1))._replace(classes={"view": view})
-    state["store"]["sections"]["section/drafts"] = Section("s", "o", 1, "d", {"drafts": service})
+    section = Section("s", "o", 1, "d", {"drafts": service})
+    accept_item(state["store"], NewSection(Item("section/drafts", 1, "d", b""), section), 0.0)
     entries = []
     for vm in PEERS:
         live = VmStatus.LIVE
         entries.append(VmEntry(vm, "127.0.0.1", 1, 2, "manila", "luzon", "drafts", live, 0))
         record_hello(state["peers"], Hello(vm, "i", "manila", "drafts"), 0.0)
-    state["store"]["vm_lists"]["vms/manila"] = VmList("manila", 1, 0, tuple(entries))
+    vm_list = VmList("manila", 1, 0, tuple(entries))
+    accept_item(state["store"], NewVmList(Item("vms/manila", 1, "d", b""), vm_list), 0.0)
     return state
 
 
--- a/tests/slow/test_process.py
+++ b/tests/slow/test_process.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from jacinthsail.testing.mesh import Mesh, MeshVm
+from jacinthsail.testing.mesh import Mesh, MeshVm, process_name
 
 SAMPLES = Path(__file__).resolve().parents[2] / "samples"
 VMS = (
@@ -34,7 +34,7 @@
         cls.mesh.__exit__(None, None, None)
 
     def nodes(self):
-        return [(vm, each["node"]) for vm, each in self.mesh.processes.items()]
+        return [(vm, self.mesh.processes[process_name(vm, "node")]) for vm in self.mesh.vms]
 
     def test_one_thread(self):
         """A resolver or executor thread would share state that has a single owner."""
@@ -70,10 +70,10 @@
 
     def test_stop_of_an_idle_node(self):
         """A stop that waits for idle tasks delays every replacement of a VM."""
-        node = self.mesh.processes["billing-1"]["node"]
-        self.mesh.processes["billing-1"]["node"].send_signal(signal.SIGTERM)
+        node = self.mesh.processes[process_name("billing-1", "node")]
+        self.mesh.processes[process_name("billing-1", "node")].send_signal(signal.SIGTERM)
         self.assertEqual(node.wait(STOP_LIMIT_S), 0)
-        self.mesh.processes["billing-1"]["target"].terminate()
-        self.mesh.processes["billing-1"]["target"].wait()
+        self.mesh.processes[process_name("billing-1", "target")].terminate()
+        self.mesh.processes[process_name("billing-1", "target")].wait()
         self.mesh.start_vm("billing-1")
         self.mesh.wait_until_ready("billing-1")
