--- a/src/jacinthsail/testing/platform.py
+++ b/src/jacinthsail/testing/platform.py
@@ -49,6 +49,7 @@
         self.watches = 0
         self.recent: deque[float] = deque()
         self.mode: PlatformMode = {"down": False, "delay_ms": 0.0, "stale": None}
+        self.history: list[Snapshot] = [Snapshot(0, _now_ms(), {})]
         self.changed = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -93,7 +94,11 @@
         )
 
     async def control(self, request: web.Request) -> web.Response:
-        """Set the mode: ``normal``, ``down``, ``slow`` with ``delay_ms``, or ``stale``."""
+        """Set the mode: ``normal``, ``down``, ``slow`` with ``delay_ms``, or ``stale``.
+
+        A stale platform answers as it did when ``revision`` was the newest one; by default that is
+        the present revision, and ``back`` counts from it.
+        """
         change = await request.json()
         name = change["mode"]
         if name not in ("normal", "down", "slow", "stale"):
@@ -101,11 +106,17 @@
         self.mode = {
             "down": name == "down",
             "delay_ms": change.get("delay_ms", 0.0) if name == "slow" else 0.0,
-            "stale": self._current() if name == "stale" else None,
+            "stale": self._stale_view(change) if name == "stale" else None,
         }
         self._wake_watches()
         return web.json_response({"mode": name})
 
+    def _stale_view(self, change: dict[str, int]) -> Snapshot:
+        revision = change.get("revision", self.revision - change.get("back", 0))
+        if revision == self.revision:
+            return self._current()
+        return self.history[revision]
+
     def _current(self) -> Snapshot:
         return Snapshot(self.revision, _now_ms(), dict(self.items))
 
@@ -134,6 +145,7 @@
         body = await request.read()
         self.revision += 1
         self.items[request.match_info["name"]] = Published(self.revision, body)
+        self.history.append(self._current())
         self._wake_watches()
         return web.json_response({"version": self.revision})
 
--- /dev/null
+++ b/src/jacinthsail/testing/scenario.py
@@ -0,0 +1,179 @@
+"""Runs scenarios: ``python -m jacinthsail.testing.scenario run <file> [--twin]``."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from absl import app, flags
+from aiohttp import ClientSession, TCPConnector
+from returns.result import Failure, Success
+
+from jacinthsail.errors import describe
+from jacinthsail.testing.mesh import Mesh
+from jacinthsail.testing.records import read_executions
+from jacinthsail.testing.scenario_checks import (
+    MAX_LINES_PER_CHECK,
+    faults_of,
+    figure_of,
+    load_figures,
+)
+from jacinthsail.testing.scenario_clients import Client
+from jacinthsail.testing.scenario_loader import load_scenario
+from jacinthsail.testing.scenario_model import (
+    Check,
+    JoinLoads,
+    MeshPlan,
+    RunRecord,
+    Scenario,
+    Step,
+    empty_record,
+)
+from jacinthsail.testing.scenario_steps import (
+    Runner,
+    StepError,
+    publish_section,
+    run_step,
+    watch_versions,
+)
+
+SCENARIOS = Path(__file__).parent / "scenarios"
+
+EXIT_FAILED = 1
+EXIT_BAD_SCENARIO = 2
+
+_TWIN = flags.DEFINE_bool("twin", False, "Run with the mechanism off; the checks must fail.")
+
+Report = Callable[[str], None]
+
+
+class Judged(NamedTuple):
+    """What one check found."""
+
+    check: Check
+    faults: list[str]
+
+
+class Verdict(NamedTuple):
+    """The result of one run; ``step_error`` is empty when every step was carried out."""
+
+    judged: list[Judged]
+    step_error: str
+    record: RunRecord
+
+    def is_met(self) -> bool:
+        """Tell whether every step was carried out and every check was met."""
+        return not self.step_error and not any(judged.faults for judged in self.judged)
+
+
+def run_scenario(scenario: Scenario, twin: bool, report: Report) -> Verdict:
+    """Run a scenario, or its twin, in a mesh of its own."""
+    plan = scenario.mesh
+    disabled = scenario.twin if twin else ()
+    with Mesh(
+        plan.vms,
+        plan.sections,
+        settings_of_vm=_settings(plan, disabled),
+        behaviour=plan.behaviour,
+        has_links=plan.links,
+    ) as mesh:
+        return asyncio.run(_run_in_mesh(scenario, mesh, report))
+
+
+def _settings(plan: MeshPlan, disabled: tuple[str, ...]) -> dict[str, str]:
+    settings = {}
+    for vm in plan.vms:
+        names = [*plan.disabled, *plan.disabled_on.get(vm.vm, ()), *disabled]
+        listed = ", ".join(f'"{name}"' for name in names)
+        settings[vm.vm] = f"[testing]\ndisabled = [{listed}]\n"
+    return settings
+
+
+async def _run_in_mesh(scenario: Scenario, mesh: Mesh, report: Report) -> Verdict:
+    record = empty_record()
+    async with ClientSession(connector=TCPConnector(limit=0)) as session:
+        urls = {vm: mesh.callers_url(vm) for vm in mesh.vms}
+        client = Client(session, urls, record)
+        runner = Runner(mesh, client, record, dict(mesh.sections), set())
+        for section, text in mesh.sections.items():
+            await publish_section(runner, section, text)
+        watcher = asyncio.create_task(watch_versions(runner))
+        try:
+            step_error = await _run_steps((*scenario.steps, JoinLoads()), runner, report)
+        finally:
+            for task in [watcher, *runner.loads]:
+                task.cancel()
+            await asyncio.gather(watcher, *runner.loads, return_exceptions=True)
+    for vm in mesh.vms:
+        record["executions"] += read_executions(mesh.record_path(vm))
+    judged = [Judged(check, faults_of(check, record)) for check in scenario.checks]
+    return Verdict(judged, step_error, record)
+
+
+async def _run_steps(steps: tuple[Step, ...], runner: Runner, report: Report) -> str:
+    started_at = time.monotonic()
+    for step in steps:
+        now = time.monotonic()
+        label = getattr(step, "label", "")
+        if label:
+            runner.record["marks"][label] = now
+        report(f"{now - started_at:6.2f} s  {type(step).__name__} {label}".rstrip())
+        try:
+            await run_step(step, runner)
+        except StepError as error:
+            report(f"step failed: {error}")
+            return str(error)
+    return ""
+
+
+def report_verdict(scenario: Scenario, verdict: Verdict, twin: bool, report: Report) -> bool:
+    """Report the figures of a run and return whether it came out as it must."""
+    for line in load_figures(verdict.record):
+        report(f"  {line}")
+    report(f"  {len(verdict.record['executions'])} executions")
+    for judged in verdict.judged:
+        name = type(judged.check).__name__
+        state = "FAULT" if judged.faults else "ok"
+        report(f"  {state:5} {name} {figure_of(judged.check, verdict.record)}".rstrip())
+        for fault in judged.faults[:MAX_LINES_PER_CHECK]:
+            report(f"        {fault}")
+        if len(judged.faults) > MAX_LINES_PER_CHECK:
+            report(f"        and {len(judged.faults) - MAX_LINES_PER_CHECK} more")
+    # A twin whose steps could not be carried out has shown nothing about its mechanism.
+    is_right = not verdict.step_error and verdict.is_met() != twin
+    kind = "twin" if twin else "scenario"
+    report(f"{'PASS' if is_right else 'FAIL'}: {kind} {scenario.name}")
+    return is_right
+
+
+def _print(line: str) -> None:
+    print(line, flush=True)
+
+
+def run(argv: list[str]) -> int:
+    """Run one scenario file and print its steps, figures and verdict."""
+    if len(argv) != 3 or argv[1] != "run":
+        print("usage: python -m jacinthsail.testing.scenario run <file> [--twin]")
+        return EXIT_BAD_SCENARIO
+    match load_scenario(Path(argv[2])):
+        case Success(scenario):
+            if _TWIN.value and not scenario.twin:
+                print(f"{argv[2]}: twin.disabled is missing; add it or run without --twin")
+                return EXIT_BAD_SCENARIO
+            verdict = run_scenario(scenario, bool(_TWIN.value), _print)
+            is_right = report_verdict(scenario, verdict, bool(_TWIN.value), _print)
+            return 0 if is_right else EXIT_FAILED
+        case Failure(errors):
+            for error in errors:
+                print(describe(error))
+    return EXIT_BAD_SCENARIO
+
+
+def main() -> None:
+    """Run the scenario command."""
+    app.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/jacinthsail/testing/scenario_clients.py
@@ -0,0 +1,133 @@
+"""Clients of a scenario: they send calls at a rate and note what they are told; commands."""
+
+import asyncio
+import json
+import random
+import time
+from typing import NamedTuple
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from jacinthsail.testing.scenario_loader import mix_of
+from jacinthsail.testing.scenario_model import Load, LoadSpan, Mix, RunRecord, Told
+
+# Longer than any deadline of the scenarios, so that a node always has the chance to tell.
+CLIENT_TIMEOUT = ClientTimeout(total=12.0)
+
+# What a client notes when the connection ended without a complete answer.
+NO_ANSWER = "no-answer"
+
+
+class Client(NamedTuple):
+    """What every call of a run needs."""
+
+    session: ClientSession
+    base_urls: dict[str, str]
+    record: RunRecord
+
+
+async def run_load(load: Load, client: Client) -> None:
+    """Send the calls of a load, open loop, and wait for all outcomes."""
+    started_at = time.monotonic()
+    client.record["spans"][load.label] = LoadSpan(started_at, load.duration_s)
+    mixes = mix_of(load)
+    shares = [mix.share for mix in mixes]
+    chooser = random.Random(load.label)
+    calls: set[asyncio.Task[None]] = set()
+    for number in range(int(load.rate * load.duration_s)):
+        await asyncio.sleep(max(0.0, started_at + number / load.rate - time.monotonic()))
+        mix = chooser.choices(mixes, shares)[0]
+        entry = load.entries[number % len(load.entries)]
+        plan_id = f"{load.label}-{number}"
+        calls.add(asyncio.create_task(_send_logical_call(load, mix, entry, plan_id, client)))
+    await asyncio.gather(*calls)
+
+
+async def _send_logical_call(
+    load: Load, mix: Mix, entry: str, plan_id: str, client: Client
+) -> None:
+    key = await _key_for(mix, entry, client)
+    if key is None:
+        return
+    copies = []
+    for copy in range(mix.repeats):
+        copies.append(
+            _send_with_retries(load, mix, entry, plan_id, f"{plan_id}-{copy}", key, client)
+        )
+    await asyncio.gather(*copies)
+
+
+async def _key_for(mix: Mix, entry: str, client: Client) -> str | None:
+    if mix.key == "none":
+        return ""
+    if mix.key == "timed":
+        return timed_key()
+    url = f"{client.base_urls[entry]}/keys/{mix.service}"
+    try:
+        async with client.session.post(url, timeout=CLIENT_TIMEOUT) as response:
+            text = await response.text()
+    except (ClientError, OSError, TimeoutError):
+        return None
+    if response.status >= 300:
+        return None
+    return str(json.loads(text)["key"]) if text.startswith("{") else text.strip()
+
+
+def timed_key() -> str:
+    """Return a UUIDv7 that is born now."""
+    born_at_ms = time.time_ns() // 1_000_000
+    number = (born_at_ms << 80) | random.getrandbits(80)
+    number = (number & ~(0xF << 76)) | (0x7 << 76)
+    number = (number & ~(0x3 << 62)) | (0x2 << 62)
+    digits = f"{number:032x}"
+    parts = (digits[:8], digits[8:12], digits[12:16], digits[16:20], digits[20:])
+    return "-".join(parts)
+
+
+async def _send_with_retries(
+    load: Load, mix: Mix, entry: str, plan_id: str, request_id: str, key: str, client: Client
+) -> None:
+    for attempt in range(load.client_retries + 1):
+        told = await _send(load, mix, entry, plan_id, f"{request_id}-{attempt}", key, client)
+        is_last = told.outcome == "answered" or attempt == load.client_retries
+        client.record["told"].append(told._replace(is_last=is_last))
+        if is_last:
+            return
+        await asyncio.sleep(load.retry_after_s)
+
+
+async def _send(
+    load: Load, mix: Mix, entry: str, plan_id: str, request_id: str, key: str, client: Client
+) -> Told:
+    url = f"{client.base_urls[entry]}/services/{mix.service}/{mix.call_class}"
+    body = json.dumps({"id": plan_id, "then": mix.then})
+    headers = {"Jacinthsail-Request-Id": request_id, "Jacinthsail-Caller": "member-1"}
+    if key:
+        headers["Idempotency-Key"] = key
+    sent_at = time.monotonic()
+    status, outcome, reason, text = 0, NO_ANSWER, "", ""
+    try:
+        async with client.session.post(
+            url, data=body, headers=headers, timeout=CLIENT_TIMEOUT
+        ) as response:
+            text = await response.text()
+            status = response.status
+            outcome = response.headers.get("Jacinthsail-Outcome", NO_ANSWER)
+            reason = response.headers.get("Jacinthsail-Reason", "")
+    except (ClientError, OSError, TimeoutError) as error:
+        reason = type(error).__name__
+    return Told(
+        label=load.label,
+        request_id=request_id,
+        plan_id=plan_id,
+        key=key,
+        service=mix.service,
+        call_class=mix.call_class,
+        sent_at=sent_at,
+        latency_s=time.monotonic() - sent_at,
+        status=status,
+        outcome=outcome,
+        reason=reason,
+        body=text,
+        is_last=True,
+    )
--- /dev/null
+++ b/src/jacinthsail/testing/scenario_loader.py
@@ -0,0 +1,219 @@
+"""Reads scenario files; a query."""
+
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar, get_type_hints
+
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import (
+    ConfigurationError,
+    MissingKey,
+    UnknownChoice,
+    UnknownKey,
+    UnreadableFile,
+    WrongType,
+)
+from jacinthsail.internal.model.settings import Mechanism
+from jacinthsail.internal.queries.schema import parse_toml
+from jacinthsail.testing import scenario_model as model
+from jacinthsail.testing.mesh import MeshVm
+
+STEPS: dict[str, type[NamedTuple]] = {
+    "load": model.Load,
+    "join-loads": model.JoinLoads,
+    "target": model.Target,
+    "link": model.Link,
+    "cut": model.Cut,
+    "silence": model.Silence,
+    "heal": model.Heal,
+    "freeze": model.Freeze,
+    "resume": model.Resume,
+    "kill": model.Kill,
+    "start": model.Start,
+    "stop": model.Stop,
+    "leave": model.Leave,
+    "platform": model.Platform,
+    "edit": model.Edit,
+    "pause": model.Pause,
+    "wait-sections": model.WaitSections,
+    "wait-ready": model.WaitReady,
+}
+CHECKS: dict[str, type[NamedTuple]] = {
+    "at-most-once": model.AtMostOnce,
+    "outcomes-true": model.OutcomesTrue,
+    "answers-whole": model.AnswersWhole,
+    "shed-order": model.ShedOrder,
+    "executions-per-request": model.ExecutionsPerRequest,
+    "executions-ratio": model.ExecutionsRatio,
+    "answered-share": model.AnsweredShare,
+    "goodput-ratio": model.GoodputRatio,
+    "no-unknown": model.NoUnknown,
+    "exited-cleanly": model.ExitedCleanly,
+    "no-new-work": model.NoNewWork,
+    "sections-in-force": model.SectionsInForce,
+    "never-reverted": model.NeverReverted,
+}
+_TOP_LEVEL = ("name", "guards", "mesh", "step", "check", "twin")
+_MESH = ("vms", "sections", "target", "disabled", "disabled_on", "links")
+_TOML_TYPES: dict[object, tuple[type, ...]] = {
+    str: (str,),
+    int: (int,),
+    float: (int, float),
+    bool: (bool,),
+    dict: (dict,),
+    tuple: (list,),
+}
+
+Record = TypeVar("Record")
+
+
+class Faults(NamedTuple):
+    """Collects what is wrong with a file while it is read."""
+
+    source: str
+    errors: list[ConfigurationError]
+
+
+def load_scenario(path: Path) -> Result[model.Scenario, tuple[ConfigurationError, ...]]:
+    """Return the scenario in a file, or every fault found in it."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((UnreadableFile(str(path), str(error)),))
+    return parse_scenario(text, str(path))
+
+
+def parse_scenario(
+    text: str, source: str
+) -> Result[model.Scenario, tuple[ConfigurationError, ...]]:
+    """Return the scenario in a TOML text, or every fault found in it."""
+    parsed = parse_toml(text, source)
+    match parsed:
+        case Success(table):
+            faults = Faults(source, [])
+            scenario = _scenario_of(table, faults)
+            if faults.errors or scenario is None:
+                return Failure(tuple(faults.errors))
+            return Success(scenario)
+        case Failure(error):
+            return Failure((error,))
+    raise AssertionError("a result is a success or a failure")
+
+
+def _scenario_of(table: dict[str, Any], faults: Faults) -> model.Scenario | None:
+    _report_unknown(table, _TOP_LEVEL, "", faults)
+    for key in ("name", "guards", "mesh", "step", "check"):
+        if key not in table:
+            faults.errors.append(MissingKey(faults.source, key))
+    if faults.errors:
+        return None
+    steps = _variants(table["step"], "step", "do", STEPS, faults)
+    checks = _variants(table["check"], "check", "that", CHECKS, faults)
+    for number, step in enumerate(steps):
+        _check_mix(step, f"step[{number}].mix", faults)
+    twin = tuple(table.get("twin", {}).get("disabled", ()))
+    mesh = _mesh_of(table["mesh"], faults)
+    _report_unknown(table.get("twin", {}), ("disabled",), "twin.", faults)
+    _report_unknown_mechanisms(twin, "twin.disabled", faults)
+    if faults.errors:
+        return None
+    return model.Scenario(table["name"], table["guards"], mesh, steps, checks, twin)
+
+
+def _mesh_of(table: dict[str, Any], faults: Faults) -> model.MeshPlan:
+    _report_unknown(table, _MESH, "mesh.", faults)
+    vms = []
+    for number, entry in enumerate(table.get("vms", [])):
+        vm = _record_of(entry, MeshVm, f"mesh.vms[{number}]", faults)
+        if vm is not None:
+            vms.append(vm)
+    if not vms:
+        faults.errors.append(MissingKey(faults.source, "mesh.vms"))
+    disabled = tuple(table.get("disabled", ()))
+    _report_unknown_mechanisms(disabled, "mesh.disabled", faults)
+    return model.MeshPlan(
+        vms=tuple(vms),
+        sections=table.get("sections", {}),
+        behaviour=table.get("target", {}),
+        disabled=disabled,
+        disabled_on=table.get("disabled_on", {}),
+        links=table.get("links", False),
+    )
+
+
+def _variants(
+    tables: list[dict[str, Any]],
+    place: str,
+    tag: str,
+    kinds: dict[str, type[NamedTuple]],
+    faults: Faults,
+) -> tuple[Any, ...]:
+    found = []
+    for number, table in enumerate(tables):
+        key = f"{place}[{number}]"
+        name = table.get(tag)
+        if name is None:
+            faults.errors.append(MissingKey(faults.source, f"{key}.{tag}"))
+            continue
+        if name not in kinds:
+            choices = tuple(kinds)
+            faults.errors.append(UnknownChoice(faults.source, f"{key}.{tag}", str(name), choices))
+            continue
+        fields = {field: value for field, value in table.items() if field != tag}
+        found.append(_record_of(fields, kinds[name], key, faults))
+    return tuple(record for record in found if record is not None)
+
+
+def _record_of(
+    table: dict[str, Any], kind: type[Record], place: str, faults: Faults
+) -> Record | None:
+    """Return the named tuple with the fields of a table, and report what does not fit it."""
+    fields: dict[str, Any] = {}
+    before = len(faults.errors)
+    hints = get_type_hints(kind)
+    defaults: dict[str, Any] = getattr(kind, "_field_defaults", {})
+    _report_unknown(table, tuple(hints), f"{place}.", faults)
+    for name, hint in hints.items():
+        key = f"{place}.{name}"
+        if name not in table:
+            if name not in defaults:
+                faults.errors.append(MissingKey(faults.source, key))
+            continue
+        plain = getattr(hint, "__origin__", hint)
+        value = table[name]
+        if type(value) not in _TOML_TYPES[plain]:
+            faults.errors.append(WrongType(faults.source, key, plain.__name__, repr(value)))
+            continue
+        fields[name] = tuple(value) if plain is tuple else value
+    if len(faults.errors) > before:
+        return None
+    return kind(**fields)
+
+
+def _check_mix(step: Any, place: str, faults: Faults) -> None:
+    for number, table in enumerate(getattr(step, "mix", ())):
+        _record_of(table, model.Mix, f"{place}[{number}]", faults)
+
+
+def mix_of(load: model.Load) -> tuple[model.Mix, ...]:
+    """Return the kinds of calls in a load that was read without faults."""
+    mixes = []
+    for table in load.mix:
+        mix = model.Mix(**table)
+        mixes.append(mix._replace(then=tuple(mix.then)))
+    return tuple(mixes)
+
+
+def _report_unknown(
+    table: dict[str, Any], known: tuple[str, ...], prefix: str, faults: Faults
+) -> None:
+    for key in table:
+        if key not in known:
+            faults.errors.append(UnknownKey(faults.source, f"{prefix}{key}"))
+
+
+def _report_unknown_mechanisms(names: tuple[str, ...], key: str, faults: Faults) -> None:
+    choices = tuple(mechanism.value for mechanism in Mechanism)
+    for name in names:
+        if name not in choices:
+            faults.errors.append(UnknownChoice(faults.source, key, name, choices))
--- /dev/null
+++ b/src/jacinthsail/testing/scenario_model.py
@@ -0,0 +1,378 @@
+"""Data of the scenario language: what a file says, and what a run saw."""
+
+from typing import Any, NamedTuple, TypedDict
+
+from jacinthsail.testing.mesh import MeshVm
+from jacinthsail.testing.target_model import Execution
+
+
+class Mix(NamedTuple):
+    """One kind of call in a load; ``share`` is its weight.
+
+    ``key`` is none, timed or issued. ``then`` lists nested calls, each a table with service, class
+    and its own ``then``. ``repeats`` sends the same call with the same key that often at once.
+    """
+
+    service: str
+    call_class: str
+    share: int = 1
+    key: str = "none"
+    then: tuple[Any, ...] = ()
+    repeats: int = 1
+
+
+class Load(NamedTuple):
+    """Send calls at a constant rate; with ``background`` the next steps run meanwhile.
+
+    Clients send a call again up to ``client_retries`` times, with the same key and a new request
+    id, after ``retry_after_s``, when its outcome is not an answer.
+    """
+
+    label: str
+    rate: float
+    duration_s: float
+    entries: tuple[str, ...]
+    mix: tuple[Any, ...]
+    client_retries: int = 0
+    retry_after_s: float = 0.1
+    background: bool = False
+
+
+class JoinLoads(NamedTuple):
+    """Wait until every load in the background has ended."""
+
+
+class Target(NamedTuple):
+    """Change fields of the behaviour of the targets of some VMs."""
+
+    vms: tuple[str, ...]
+    behaviour: dict[str, Any]
+    label: str = ""
+
+
+class Link(NamedTuple):
+    """Change fields of the behaviour of the links in front of some VMs' relay ports."""
+
+    vms: tuple[str, ...]
+    behaviour: dict[str, Any]
+    label: str = ""
+
+
+class Cut(NamedTuple):
+    """Reset the connections through the links of some VMs, and refuse new ones."""
+
+    vms: tuple[str, ...]
+    label: str = ""
+
+
+class Silence(NamedTuple):
+    """Discard what passes the links of some VMs on connections that stay open."""
+
+    vms: tuple[str, ...]
+    new_too: bool = False
+    label: str = ""
+
+
+class Heal(NamedTuple):
+    """Let the links of some VMs pass everything again."""
+
+    vms: tuple[str, ...]
+    label: str = ""
+
+
+class Freeze(NamedTuple):
+    """Stop processes without ending them."""
+
+    vms: tuple[str, ...]
+    role: str = "node"
+    label: str = ""
+
+
+class Resume(NamedTuple):
+    """Let frozen processes run on."""
+
+    vms: tuple[str, ...]
+    role: str = "node"
+    label: str = ""
+
+
+class Kill(NamedTuple):
+    """End processes without notice."""
+
+    vms: tuple[str, ...]
+    role: str = "node"
+    label: str = ""
+
+
+class Start(NamedTuple):
+    """Start processes that have ended."""
+
+    vms: tuple[str, ...]
+    role: str = "node"
+    label: str = ""
+
+
+class Stop(NamedTuple):
+    """Ask a node to end, wait until it has, and note its exit code."""
+
+    vm: str
+    timeout_s: float = 10.0
+    label: str = ""
+
+
+class Leave(NamedTuple):
+    """Publish some VMs as leaving."""
+
+    vms: tuple[str, ...]
+    label: str = ""
+
+
+class Platform(NamedTuple):
+    """Set the platform's mode: normal, down, slow, or stale by ``back`` revisions."""
+
+    mode: str
+    delay_ms: float = 0.0
+    back: int = 0
+    label: str = ""
+
+
+class Edit(NamedTuple):
+    """Publish a new text of a section; ``replace`` holds pairs of old and new text."""
+
+    section: str
+    text: str = ""
+    replace: tuple[Any, ...] = ()
+    label: str = ""
+
+
+class Pause(NamedTuple):
+    """Let time pass."""
+
+    seconds: float
+
+
+class WaitSections(NamedTuple):
+    """Wait until the nodes of some VMs have the newest published sections in force."""
+
+    vms: tuple[str, ...]
+    timeout_s: float = 10.0
+
+
+class WaitReady(NamedTuple):
+    """Wait until the nodes of some VMs say that they are ready."""
+
+    vms: tuple[str, ...]
+    timeout_s: float = 10.0
+
+
+Step = (
+    Load
+    | JoinLoads
+    | Target
+    | Link
+    | Cut
+    | Silence
+    | Heal
+    | Freeze
+    | Resume
+    | Kill
+    | Start
+    | Stop
+    | Leave
+    | Platform
+    | Edit
+    | Pause
+    | WaitSections
+    | WaitReady
+)
+
+
+class AtMostOnce(NamedTuple):
+    """No idempotency key has more than one execution over all targets."""
+
+    at_least_keys: int = 1
+
+
+class OutcomesTrue(NamedTuple):
+    """A call told as not run has no execution; one told as answered has one, if it had no key."""
+
+
+class AnswersWhole(NamedTuple):
+    """Every answered call got exactly the answer to its own request."""
+
+    at_least: int = 1
+
+
+class ShedOrder(NamedTuple):
+    """In a load, calls of the class ``first`` are shed and ``last`` is answered more often."""
+
+    label: str
+    first: str
+    last: str
+    last_answered_at_least: float
+    first_shed_at_least: float = 0.01
+
+
+class ExecutionsPerRequest(NamedTuple):
+    """No request id has more executions than this at one service."""
+
+    service: str
+    at_most: int
+    label: str = ""
+
+
+class ExecutionsRatio(NamedTuple):
+    """Executions of a service per request of a load stay at most at this ratio."""
+
+    label: str
+    service: str
+    at_most: float
+
+
+class AnsweredShare(NamedTuple):
+    """Of the calls of a load, this share is answered with status 200.
+
+    Only calls sent from ``from_s`` after the start of the load count.
+    """
+
+    label: str
+    at_least: float
+    from_s: float = 0.0
+
+
+class GoodputRatio(NamedTuple):
+    """Whole requests per second in one load are at least this part of those in another one."""
+
+    label: str
+    reference: str
+    at_least: float
+    from_s: float = 0.0
+
+
+class NoUnknown(NamedTuple):
+    """No call of a load is unknown, cut off or refused by the node's port."""
+
+    label: str
+
+
+class ExitedCleanly(NamedTuple):
+    """A stopped node ended by itself with exit code 0."""
+
+    vm: str
+
+
+class NoNewWork(NamedTuple):
+    """The target of a VM starts nothing from ``within_s`` after the labelled step."""
+
+    vm: str
+    after: str
+    within_s: float
+
+
+class SectionsInForce(NamedTuple):
+    """At the end every node has the newest published version of every section in force."""
+
+    vms: tuple[str, ...]
+
+
+class NeverReverted(NamedTuple):
+    """No node was ever seen with an older version of a section than before."""
+
+
+Check = (
+    AtMostOnce
+    | OutcomesTrue
+    | AnswersWhole
+    | ShedOrder
+    | ExecutionsPerRequest
+    | ExecutionsRatio
+    | AnsweredShare
+    | GoodputRatio
+    | NoUnknown
+    | ExitedCleanly
+    | NoNewWork
+    | SectionsInForce
+    | NeverReverted
+)
+
+
+class MeshPlan(NamedTuple):
+    """The mesh of a scenario."""
+
+    vms: tuple[MeshVm, ...]
+    sections: dict[str, str]
+    behaviour: dict[str, Any]
+    disabled: tuple[str, ...]
+    disabled_on: dict[str, Any]
+    links: bool
+
+
+class Scenario(NamedTuple):
+    """One scenario; ``twin`` names the mechanisms without which its checks must fail."""
+
+    name: str
+    guards: str
+    mesh: MeshPlan
+    steps: tuple[Step, ...]
+    checks: tuple[Check, ...]
+    twin: tuple[str, ...]
+
+
+class Told(NamedTuple):
+    """What a client was told of one attempt; ``sent_at`` is in monotonic seconds."""
+
+    label: str
+    request_id: str
+    plan_id: str
+    key: str
+    service: str
+    call_class: str
+    sent_at: float
+    latency_s: float
+    status: int
+    outcome: str
+    reason: str
+    body: str
+    is_last: bool
+
+
+class LoadSpan(NamedTuple):
+    """When a load ran."""
+
+    started_at: float
+    duration_s: float
+
+
+class SeenVersions(NamedTuple):
+    """Versions of the sections that one incarnation of a node had in force."""
+
+    vm: str
+    incarnation: str
+    versions: dict[str, int]
+
+
+class RunRecord(TypedDict):
+    """Everything that a run has seen; the checks read nothing else."""
+
+    told: list[Told]
+    spans: dict[str, LoadSpan]
+    marks: dict[str, float]
+    exit_codes: dict[str, int | None]
+    published: dict[str, int]
+    seen: list[SeenVersions]
+    executions: list[Execution]
+    notes: list[str]
+
+
+def empty_record() -> RunRecord:
+    """Return the record of a run that has not begun."""
+    return {
+        "told": [],
+        "spans": {},
+        "marks": {},
+        "exit_codes": {},
+        "published": {},
+        "seen": [],
+        "executions": [],
+        "notes": [],
+    }
--- /dev/null
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -0,0 +1,218 @@
+"""Carries out the steps of a scenario; commands."""
+
+import asyncio
+import json
+import signal
+import time
+from functools import singledispatch
+from typing import Any, NamedTuple
+
+from aiohttp import ClientError, ClientTimeout
+
+from jacinthsail.testing import scenario_model as model
+from jacinthsail.testing.mesh import Mesh, process_name
+from jacinthsail.testing.scenario_clients import Client, run_load
+
+POLL_S = 0.1
+STATUS_TIMEOUT = ClientTimeout(total=1.0)
+HEALED: dict[str, object] = {"cut": False, "silent": False, "silences_new": False}
+
+
+class StepError(Exception):
+    """A step could not be carried out, or a condition was not met in time."""
+
+
+class Runner(NamedTuple):
+    """What the steps act on."""
+
+    mesh: Mesh
+    client: Client
+    record: model.RunRecord
+    texts: dict[str, str]
+    loads: set[asyncio.Task[None]]
+
+
+@singledispatch
+async def run_step(step: object, runner: Runner) -> None:
+    """Carry out one step."""
+    raise NotImplementedError(f"no rule for step {type(step).__name__}; register one")
+
+
+@run_step.register
+async def _(step: model.Load, runner: Runner) -> None:
+    if step.background:
+        runner.loads.add(asyncio.create_task(run_load(step, runner.client)))
+        return
+    await run_load(step, runner.client)
+
+
+@run_step.register
+async def _(step: model.JoinLoads, runner: Runner) -> None:
+    await asyncio.gather(*runner.loads)
+
+
+@run_step.register
+async def _(step: model.Target, runner: Runner) -> None:
+    for vm in step.vms:
+        await _control(runner, vm, "target", step.behaviour)
+
+
+@run_step.register
+async def _(step: model.Link, runner: Runner) -> None:
+    for vm in step.vms:
+        await _control(runner, vm, "link", step.behaviour)
+
+
+@run_step.register
+async def _(step: model.Cut, runner: Runner) -> None:
+    for vm in step.vms:
+        await _control(runner, vm, "link", {"cut": True})
+
+
+@run_step.register
+async def _(step: model.Silence, runner: Runner) -> None:
+    for vm in step.vms:
+        await _control(runner, vm, "link", {"silent": True, "silences_new": step.new_too})
+
+
+@run_step.register
+async def _(step: model.Heal, runner: Runner) -> None:
+    for vm in step.vms:
+        await _control(runner, vm, "link", HEALED)
+
+
+@run_step.register
+async def _(step: model.Freeze, runner: Runner) -> None:
+    for vm in step.vms:
+        runner.mesh.signal_process(vm, step.role, signal.SIGSTOP)
+
+
+@run_step.register
+async def _(step: model.Resume, runner: Runner) -> None:
+    for vm in step.vms:
+        runner.mesh.signal_process(vm, step.role, signal.SIGCONT)
+
+
+@run_step.register
+async def _(step: model.Kill, runner: Runner) -> None:
+    for vm in step.vms:
+        runner.mesh.signal_process(vm, step.role, signal.SIGKILL)
+
+
+@run_step.register
+async def _(step: model.Start, runner: Runner) -> None:
+    for vm in step.vms:
+        await _wait_for_exit(runner, vm, step.role, 5.0)
+        runner.mesh.start_process(vm, step.role)
+
+
+@run_step.register
+async def _(step: model.Stop, runner: Runner) -> None:
+    runner.mesh.signal_process(step.vm, "node", signal.SIGTERM)
+    code = await _wait_for_exit(runner, step.vm, "node", step.timeout_s)
+    runner.record["exit_codes"][process_name(step.vm, "node")] = code
+
+
+@run_step.register
+async def _(step: model.Leave, runner: Runner) -> None:
+    runner.mesh.publish_vm_lists(frozenset(step.vms))
+
+
+@run_step.register
+async def _(step: model.Platform, runner: Runner) -> None:
+    change = {"mode": step.mode, "delay_ms": step.delay_ms, "back": step.back}
+    await _control(runner, "", "platform", change)
+
+
+@run_step.register
+async def _(step: model.Edit, runner: Runner) -> None:
+    text = step.text or runner.texts[step.section]
+    for old, new in step.replace:
+        if old not in text:
+            raise StepError(f"section {step.section} has no {old!r}; correct the replace pair")
+        text = text.replace(old, new)
+    runner.texts[step.section] = text
+    await publish_section(runner, step.section, text)
+
+
+@run_step.register
+async def _(step: model.Pause, runner: Runner) -> None:
+    await asyncio.sleep(step.seconds)
+
+
+@run_step.register
+async def _(step: model.WaitSections, runner: Runner) -> None:
+    latest = time.monotonic() + step.timeout_s
+    while time.monotonic() < latest:
+        statuses = [await node_status(runner, vm) for vm in step.vms]
+        if all(versions_in(status) == runner.record["published"] for status in statuses):
+            return
+        await asyncio.sleep(POLL_S)
+    raise StepError(f"sections not in force on {step.vms} after {step.timeout_s} s")
+
+
+@run_step.register
+async def _(step: model.WaitReady, runner: Runner) -> None:
+    latest = time.monotonic() + step.timeout_s
+    while time.monotonic() < latest:
+        statuses = [await node_status(runner, vm) for vm in step.vms]
+        if all(status is not None and status["ready"] for status in statuses):
+            return
+        await asyncio.sleep(POLL_S)
+    raise StepError(f"{step.vms} not ready after {step.timeout_s} s")
+
+
+async def publish_section(runner: Runner, section: str, text: str) -> None:
+    """Publish a section and note the version that the platform gave it."""
+    url = f"http://127.0.0.1:{runner.mesh.platform_port}/v1/items/section/{section}"
+    async with runner.client.session.put(url, data=text.encode()) as response:
+        published = await response.json()
+    runner.record["published"][section] = published["version"]
+
+
+async def node_status(runner: Runner, vm: str) -> dict[str, Any] | None:
+    """Return the status page of a node, or None when it does not answer."""
+    try:
+        async with runner.client.session.get(
+            runner.mesh.status_url(vm), timeout=STATUS_TIMEOUT
+        ) as response:
+            status: dict[str, Any] = await response.json()
+            return status
+    except (ClientError, OSError, TimeoutError):
+        return None
+
+
+def versions_in(status: dict[str, Any] | None) -> dict[str, int]:
+    """Return the versions of the sections that a status page shows as in force."""
+    if status is None:
+        return {}
+    return {name: section["version"] for name, section in status["sections"].items()}
+
+
+async def watch_versions(runner: Runner) -> None:
+    """Note the versions in force on every node that is ready, until cancelled."""
+    while True:
+        for vm in runner.mesh.vms:
+            status = await node_status(runner, vm)
+            if status is None or not status["ready"]:
+                continue
+            seen = model.SeenVersions(vm, status["incarnation"], versions_in(status))
+            runner.record["seen"].append(seen)
+        await asyncio.sleep(POLL_S)
+
+
+async def _control(runner: Runner, vm: str, role: str, change: dict[str, Any]) -> None:
+    url = runner.mesh.control_url(vm, role)
+    async with runner.client.session.post(url, data=json.dumps(change)) as response:
+        if response.status != 200:
+            raise StepError(f"{role} {vm}: {await response.text()}")
+
+
+async def _wait_for_exit(runner: Runner, vm: str, role: str, timeout_s: float) -> int | None:
+    latest = time.monotonic() + timeout_s
+    while time.monotonic() < latest:
+        code = runner.mesh.exit_code(vm, role)
+        if code is not None:
+            return code
+        await asyncio.sleep(POLL_S)
+    return None
