Partition VMs, and name the checks that a twin must fail

A twin that fails for any reason shows nothing about its mechanism, so it now names the checks that must not be met. Links tell connections apart by the VM name in the first bytes, which allows partitions, and a second link per VM leads to the platform.

--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -19,6 +20,8 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 # VMs are published as listed this long ago, so that keys born now may have them as their home.
 LISTED_AGO_MS = 60_000
@@ -44,6 +47,8 @@
     target: int
     link: int
     link_control: int
+    platform_link: int
+    platform_link_control: int
 
 
 class Reply(NamedTuple):
@@ -56,15 +61,23 @@
 
 
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port of 127.0.0.1 that is free now.
+
+    The ports lie below the range from which outgoing connections take theirs, since such a
+    connection could take the port before the process that is to listen there has started.
+    """
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 def process_name(vm: str, role: str) -> str:
-    """Return the name of one process of a VM; the role is node, target or link."""
+    """Return the name of one process of a VM."""
     return f"{vm}/{role}"
 
 
@@ -141,14 +154,16 @@
         self.start_process(vm, "target")
         if self.has_links:
             self.start_process(vm, "link")
+            self.start_process(vm, "platform-link")
         self.start_process(vm, "node")
 
     def start_process(self, vm: str, role: str) -> None:
-        """Start one process of a VM: its node, target or link."""
+        """Start one process of a VM: node, target, link or platform-link."""
         starters = {
             "node": self._start_node,
             "target": self._start_target,
             "link": self._start_link,
+            "platform-link": self._start_platform_link,
         }
         starters[role](vm)
 
@@ -166,13 +181,14 @@
 
     def _start_link(self, vm: str) -> None:
         ports = self.ports[vm]
-        flags = [
-            f"--port={ports.link_control}",
-            f"--relay_port={ports.link}",
-            f"--to_port={ports.relay}",
-        ]
+        flags = _link_flags(ports.link_control, ports.link, ports.relay)
         self._start_standin(process_name(vm, "link"), "link", flags)
 
+    def _start_platform_link(self, vm: str) -> None:
+        ports = self.ports[vm]
+        flags = _link_flags(ports.platform_link_control, ports.platform_link, self.platform_port)
+        self._start_standin(process_name(vm, "platform-link"), "link", flags)
+
     def _start_node(self, vm: str) -> None:
         settings = Path(self.folder.name) / f"{vm}.toml"
         settings.write_text(self._settings_of(vm), encoding="utf-8")
@@ -197,7 +213,7 @@
             "relay": ports.relay,
             "operators": ports.operators,
             "target": ports.target,
-            "platform": self.platform_port,
+            "platform": ports.platform_link if self.has_links else self.platform_port,
         }
         for name, port in endpoints.items():
             lines += [f"[{name}]", f'host = "{HOST}"', f"port = {port}"]
@@ -290,7 +306,11 @@
         """Return the control URL of a stand-in; the platform's has an empty ``vm``."""
         ports = {PLATFORM: self.platform_port}
         if vm:
-            ports |= {"target": self.ports[vm].target, "link": self.ports[vm].link_control}
+            ports |= {
+                "target": self.ports[vm].target,
+                "link": self.ports[vm].link_control,
+                "platform-link": self.ports[vm].platform_link_control,
+            }
         return f"http://{HOST}:{ports[role]}/control"
 
     def call(
@@ -317,6 +337,10 @@
     return Reply(status, outcome, reason, body.decode())
 
 
+def _link_flags(control_port: int, relay_port: int, to_port: int) -> list[str]:
+    return [f"--port={control_port}", f"--relay_port={relay_port}", f"--to_port={to_port}"]
+
+
 def _wait_for(url: str) -> None:
     latest = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < latest:
--- a/src/jacinthsail/testing/scenario.py
+++ b/src/jacinthsail/testing/scenario.py
@@ -20,7 +20,7 @@
     load_figures,
 )
 from jacinthsail.testing.scenario_clients import Client
-from jacinthsail.testing.scenario_loader import load_scenario
+from jacinthsail.testing.scenario_loader import check_name, load_scenario
 from jacinthsail.testing.scenario_model import (
     Check,
     JoinLoads,
@@ -28,6 +28,7 @@
     RunRecord,
     Scenario,
     Step,
+    Twin,
     empty_record,
 )
 from jacinthsail.testing.scenario_steps import (
@@ -66,11 +67,17 @@
         """Tell whether every step was carried out and every check was met."""
         return not self.step_error and not any(judged.faults for judged in self.judged)
 
+    def is_refuted(self, twin: Twin) -> bool:
+        """Tell whether every step was carried out and the checks of the twin were not met."""
+        unmet = {check_name(judged.check) for judged in self.judged if judged.faults}
+        # A twin whose steps could not be carried out has shown nothing about its mechanism.
+        return not self.step_error and unmet.issuperset(twin.fails)
 
-def run_scenario(scenario: Scenario, twin: bool, report: Report) -> Verdict:
-    """Run a scenario, or its twin, in a mesh of its own."""
+
+def run_scenario(scenario: Scenario, twin: Twin | None, report: Report) -> Verdict:
+    """Run a scenario, or its twin when given, in a mesh of its own."""
     plan = scenario.mesh
-    disabled = scenario.twin if twin else ()
+    disabled = twin.disabled if twin is not None else ()
     with Mesh(
         plan.vms,
         plan.sections,
@@ -127,8 +134,13 @@
     return ""
 
 
-def report_verdict(scenario: Scenario, verdict: Verdict, twin: bool, report: Report) -> bool:
-    """Report the figures of a run and return whether it came out as it must."""
+def is_right(verdict: Verdict, twin: Twin | None) -> bool:
+    """Tell whether a run came out as it must; a twin must fail."""
+    return verdict.is_met() if twin is None else verdict.is_refuted(twin)
+
+
+def report_verdict(scenario: Scenario, verdict: Verdict, twin: Twin | None, report: Report) -> None:
+    """Report the figures of a run and its verdict."""
     for line in load_figures(verdict.record):
         report(f"  {line}")
     report(f"  {len(verdict.record['executions'])} executions")
@@ -140,11 +152,9 @@
             report(f"        {fault}")
         if len(judged.faults) > MAX_LINES_PER_CHECK:
             report(f"        and {len(judged.faults) - MAX_LINES_PER_CHECK} more")
-    # A twin whose steps could not be carried out has shown nothing about its mechanism.
-    is_right = not verdict.step_error and verdict.is_met() != twin
-    kind = "twin" if twin else "scenario"
-    report(f"{'PASS' if is_right else 'FAIL'}: {kind} {scenario.name}")
-    return is_right
+    kind = "scenario" if twin is None else "twin"
+    result = "PASS" if is_right(verdict, twin) else "FAIL"
+    report(f"{result}: {kind} {scenario.name}")
 
 
 def _print(line: str) -> None:
@@ -158,12 +168,13 @@
         return EXIT_BAD_SCENARIO
     match load_scenario(Path(argv[2])):
         case Success(scenario):
-            if _TWIN.value and not scenario.twin:
-                print(f"{argv[2]}: twin.disabled is missing; add it or run without --twin")
+            if _TWIN.value and scenario.twin is None:
+                print(f"{argv[2]}: twin is missing; add it or run without --twin")
                 return EXIT_BAD_SCENARIO
-            verdict = run_scenario(scenario, bool(_TWIN.value), _print)
-            is_right = report_verdict(scenario, verdict, bool(_TWIN.value), _print)
-            return 0 if is_right else EXIT_FAILED
+            twin = scenario.twin if _TWIN.value else None
+            verdict = run_scenario(scenario, twin, _print)
+            report_verdict(scenario, verdict, twin, _print)
+            return 0 if is_right(verdict, twin) else EXIT_FAILED
         case Failure(errors):
             for error in errors:
                 print(describe(error))
--- a/src/jacinthsail/testing/scenario_loader.py
+++ b/src/jacinthsail/testing/scenario_loader.py
@@ -26,6 +26,7 @@
     "cut": model.Cut,
     "silence": model.Silence,
     "heal": model.Heal,
+    "partition": model.Partition,
     "freeze": model.Freeze,
     "resume": model.Resume,
     "kill": model.Kill,
@@ -111,15 +112,27 @@
     checks = _variants(table["check"], "check", "that", CHECKS, faults)
     for number, step in enumerate(steps):
         _check_mix(step, f"step[{number}].mix", faults)
-    twin = tuple(table.get("twin", {}).get("disabled", ()))
     mesh = _mesh_of(table["mesh"], faults)
-    _report_unknown(table.get("twin", {}), ("disabled",), "twin.", faults)
-    _report_unknown_mechanisms(twin, "twin.disabled", faults)
+    twin = _twin_of(table, faults)
     if faults.errors:
         return None
     return model.Scenario(table["name"], table["guards"], mesh, steps, checks, twin)
 
 
+def _twin_of(table: dict[str, Any], faults: Faults) -> model.Twin | None:
+    if "twin" not in table:
+        return None
+    twin = _record_of(table["twin"], model.Twin, "twin", faults)
+    if twin is None:
+        return None
+    _report_unknown_mechanisms(twin.disabled, "twin.disabled", faults)
+    present = tuple(str(check.get("that")) for check in table["check"])
+    for name in twin.fails:
+        if name not in present:
+            faults.errors.append(UnknownChoice(faults.source, "twin.fails", name, present))
+    return twin
+
+
 def _mesh_of(table: dict[str, Any], faults: Faults) -> model.MeshPlan:
     _report_unknown(table, _MESH, "mesh.", faults)
     vms = []
@@ -195,6 +208,14 @@
         _record_of(table, model.Mix, f"{place}[{number}]", faults)
 
 
+def check_name(check: model.Check) -> str:
+    """Return the name of a check in the language."""
+    for name, kind in CHECKS.items():
+        if kind is type(check):
+            return name
+    raise KeyError(type(check).__name__)
+
+
 def mix_of(load: model.Load) -> tuple[model.Mix, ...]:
     """Return the kinds of calls in a load that was read without faults."""
     mixes = []
--- a/src/jacinthsail/testing/scenario_model.py
+++ b/src/jacinthsail/testing/scenario_model.py
@@ -51,10 +51,15 @@
 
 
 class Link(NamedTuple):
-    """Change fields of the behaviour of the links in front of some VMs' relay ports."""
+    """Change fields of the behaviour of some VMs' links.
+
+    The role ``link`` is in front of a VM's relay port, ``platform-link`` between its node and the
+    platform.
+    """
 
     vms: tuple[str, ...]
     behaviour: dict[str, Any]
+    role: str = "link"
     label: str = ""
 
 
@@ -62,6 +67,7 @@
     """Reset the connections through the links of some VMs, and refuse new ones."""
 
     vms: tuple[str, ...]
+    role: str = "link"
     label: str = ""
 
 
@@ -69,6 +75,7 @@
     """Discard what passes the links of some VMs on connections that stay open."""
 
     vms: tuple[str, ...]
+    role: str = "link"
     new_too: bool = False
     label: str = ""
 
@@ -77,6 +84,20 @@
     """Let the links of some VMs pass everything again."""
 
     vms: tuple[str, ...]
+    role: str = "link"
+    label: str = ""
+
+
+class Partition(NamedTuple):
+    """Cut two groups of VMs off from each other, and ``off_platform`` from the platform.
+
+    With ``silent`` bytes are discarded instead, also on new connections.
+    """
+
+    one_side: tuple[str, ...]
+    other_side: tuple[str, ...]
+    off_platform: tuple[str, ...] = ()
+    silent: bool = False
     label: str = ""
 
 
@@ -173,6 +194,7 @@
     | Cut
     | Silence
     | Heal
+    | Partition
     | Freeze
     | Resume
     | Kill
@@ -307,15 +329,22 @@
     links: bool
 
 
+class Twin(NamedTuple):
+    """The same scenario with mechanisms off, in which these checks must not be met."""
+
+    disabled: tuple[str, ...]
+    fails: tuple[str, ...]
+
+
 class Scenario(NamedTuple):
-    """One scenario; ``twin`` names the mechanisms without which its checks must fail."""
+    """One scenario; ``twin`` is None when it has no negative control."""
 
     name: str
     guards: str
     mesh: MeshPlan
     steps: tuple[Step, ...]
     checks: tuple[Check, ...]
-    twin: tuple[str, ...]
+    twin: Twin | None
 
 
 class Told(NamedTuple):
--- a/src/jacinthsail/testing/scenario_steps.py
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -15,7 +15,12 @@
 
 POLL_S = 0.1
 STATUS_TIMEOUT = ClientTimeout(total=1.0)
-HEALED: dict[str, object] = {"cut": False, "silent": False, "silences_new": False}
+HEALED: dict[str, object] = {
+    "cut": False,
+    "silent": False,
+    "silences_new": False,
+    "only_from": [],
+}
 
 
 class StepError(Exception):
@@ -60,25 +65,38 @@
 @run_step.register
 async def _(step: model.Link, runner: Runner) -> None:
     for vm in step.vms:
-        await _control(runner, vm, "link", step.behaviour)
+        await _control(runner, vm, step.role, step.behaviour)
 
 
 @run_step.register
 async def _(step: model.Cut, runner: Runner) -> None:
     for vm in step.vms:
-        await _control(runner, vm, "link", {"cut": True})
+        await _control(runner, vm, step.role, {"cut": True})
 
 
 @run_step.register
 async def _(step: model.Silence, runner: Runner) -> None:
     for vm in step.vms:
-        await _control(runner, vm, "link", {"silent": True, "silences_new": step.new_too})
+        await _control(runner, vm, step.role, {"silent": True, "silences_new": step.new_too})
 
 
 @run_step.register
 async def _(step: model.Heal, runner: Runner) -> None:
     for vm in step.vms:
-        await _control(runner, vm, "link", HEALED)
+        await _control(runner, vm, step.role, HEALED)
+
+
+@run_step.register
+async def _(step: model.Partition, runner: Runner) -> None:
+    change: dict[str, object] = {"cut": True}
+    if step.silent:
+        change = {"silent": True, "silences_new": True}
+    for vm in step.one_side:
+        await _control(runner, vm, "link", {**change, "only_from": step.other_side})
+    for vm in step.other_side:
+        await _control(runner, vm, "link", {**change, "only_from": step.one_side})
+    for vm in step.off_platform:
+        await _control(runner, vm, "platform-link", change)
 
 
 @run_step.register
@@ -186,7 +204,8 @@
     """Return the versions of the sections that a status page shows as in force."""
     if status is None:
         return {}
-    return {name: section["version"] for name, section in status["sections"].items()}
+    sections = status["sections"]
+    return {name.removeprefix("section/"): sections[name]["version"] for name in sections}
 
 
 async def watch_versions(runner: Runner) -> None:
