--- /dev/null
+++ b/tests/slow/test_scenarios.py
@@ -0,0 +1,35 @@
+"""Runs the scenarios in real processes, and each twin, which must fail its checks."""
+
+import unittest
+
+from tests.common.scenarios import check_scenario, scenario_named
+
+# A scenario is listed here from the commit on in which it and its twin come out as they must.
+SCENARIOS = ("platform_down",)
+
+
+class ScenariosTest(unittest.TestCase):
+    """Holds one test per scenario and per twin, made below."""
+
+
+def _scenario_test(name):
+    def test(self):
+        check_scenario(self, scenario_named(name), None)
+
+    test.__doc__ = f"{name}: {scenario_named(name).guards}"
+    return test
+
+
+def _twin_test(name):
+    def test(self):
+        scenario = scenario_named(name)
+        check_scenario(self, scenario, scenario.twin)
+
+    test.__doc__ = f"{name} must fail its checks when its mechanism is off."
+    return test
+
+
+for _name in SCENARIOS:
+    setattr(ScenariosTest, f"test_{_name}", _scenario_test(_name))
+    if scenario_named(_name).twin is not None:
+        setattr(ScenariosTest, f"test_{_name}_twin", _twin_test(_name))
