--- a/src/jacinthsail/testing/scenario_checks.py
+++ b/src/jacinthsail/testing/scenario_checks.py
@@ -111,6 +111,30 @@
     return runs / max(1, len(plans))
 
 
+@faults_of.register
+def _(check: model.WastedShare, record: RunRecord) -> list[str]:
+    share = _wasted_share(check, record)
+    if share > check.at_most:
+        return [f"{check.label}: {share:.3f} of the executions wasted, more than {check.at_most}"]
+    return []
+
+
+def _wasted_share(check: model.WastedShare, record: RunRecord) -> float:
+    answered = set()
+    for told in record["told"]:
+        if told.label == check.label and told.status == 200:
+            answered.add(told.request_id)
+    runs = 0
+    wasted = 0
+    for run in record["executions"]:
+        if not run["request_id"].startswith(f"{check.label}-"):
+            continue
+        runs += 1
+        if run["request_id"] not in answered:
+            wasted += 1
+    return wasted / max(1, runs)
+
+
 @faults_of.register
 def _(check: model.AnsweredShare, record: RunRecord) -> list[str]:
     share = _answered_share(_final(record, check.label, check.from_s))
@@ -249,6 +273,11 @@
     return f"{_executions_ratio(check, record):.2f} per request"
 
 
+@figure_of.register
+def _(check: model.WastedShare, record: RunRecord) -> str:
+    return f"{_wasted_share(check, record):.3f} wasted"
+
+
 @figure_of.register
 def _(check: model.AnsweredShare, record: RunRecord) -> str:
     return f"{_answered_share(_final(record, check.label, check.from_s)):.3f} answered"
--- a/src/jacinthsail/testing/scenario_loader.py
+++ b/src/jacinthsail/testing/scenario_loader.py
@@ -1,5 +1,6 @@
 """Reads scenario files; a query."""
 
+from functools import singledispatch
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar, get_type_hints
 
@@ -20,6 +21,7 @@
 
 STEPS: dict[str, type[NamedTuple]] = {
     "load": model.Load,
+    "call": model.Call,
     "join-loads": model.JoinLoads,
     "target": model.Target,
     "link": model.Link,
@@ -46,6 +48,7 @@
     "shed-order": model.ShedOrder,
     "executions-per-request": model.ExecutionsPerRequest,
     "executions-ratio": model.ExecutionsRatio,
+    "wasted-share": model.WastedShare,
     "answered-share": model.AnsweredShare,
     "goodput-ratio": model.GoodputRatio,
     "no-unknown": model.NoUnknown,
@@ -111,7 +114,7 @@
     steps = _variants(table["step"], "step", "do", STEPS, faults)
     checks = _variants(table["check"], "check", "that", CHECKS, faults)
     for number, step in enumerate(steps):
-        _check_mix(step, f"step[{number}].mix", faults)
+        _check_calls(step, f"step[{number}]", faults)
     mesh = _mesh_of(table["mesh"], faults)
     twin = _twin_of(table, faults)
     if faults.errors:
@@ -203,11 +206,6 @@
     return kind(**fields)
 
 
-def _check_mix(step: Any, place: str, faults: Faults) -> None:
-    for number, table in enumerate(getattr(step, "mix", ())):
-        _record_of(table, model.Mix, f"{place}[{number}]", faults)
-
-
 def check_name(check: model.Check) -> str:
     """Return the name of a check in the language."""
     for name, kind in CHECKS.items():
@@ -216,6 +214,22 @@
     raise KeyError(type(check).__name__)
 
 
+@singledispatch
+def _check_calls(step: object, place: str, faults: Faults) -> None:
+    """Report what does not fit in the kinds of calls that a step sends."""
+
+
+@_check_calls.register
+def _(step: model.Load, place: str, faults: Faults) -> None:
+    for number, table in enumerate(step.mix):
+        _record_of(table, model.Mix, f"{place}.mix[{number}]", faults)
+
+
+@_check_calls.register
+def _(step: model.Call, place: str, faults: Faults) -> None:
+    _record_of(step.call, model.Mix, f"{place}.call", faults)
+
+
 def mix_of(load: model.Load) -> tuple[model.Mix, ...]:
     """Return the kinds of calls in a load that was read without faults."""
     mixes = []
--- a/src/jacinthsail/testing/scenario_model.py
+++ b/src/jacinthsail/testing/scenario_model.py
@@ -38,6 +38,14 @@
     background: bool = False
 
 
+class Call(NamedTuple):
+    """Send one call and wait for its outcome."""
+
+    label: str
+    entry: str
+    call: dict[str, Any]
+
+
 class JoinLoads(NamedTuple):
     """Wait until every load in the background has ended."""
 
@@ -188,6 +196,7 @@
 
 Step = (
     Load
+    | Call
     | JoinLoads
     | Target
     | Link
@@ -251,6 +260,13 @@
     at_most: float
 
 
+class WastedShare(NamedTuple):
+    """Of the executions for the calls of a load, this share at most is for calls not answered."""
+
+    label: str
+    at_most: float
+
+
 class AnsweredShare(NamedTuple):
     """Of the calls of a load, this share is answered with status 200.
 
@@ -308,6 +324,7 @@
     | ShedOrder
     | ExecutionsPerRequest
     | ExecutionsRatio
+    | WastedShare
     | AnsweredShare
     | GoodputRatio
     | NoUnknown
--- a/src/jacinthsail/testing/scenario_steps.py
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -51,6 +51,12 @@
     await run_load(step, runner.client)
 
 
+@run_step.register
+async def _(step: model.Call, runner: Runner) -> None:
+    load = model.Load(step.label, 1.0, 1.0, (step.entry,), (step.call,))
+    await run_load(load, runner.client)
+
+
 @run_step.register
 async def _(step: model.JoinLoads, runner: Runner) -> None:
     await asyncio.gather(*runner.loads)
--- a/tests/fast/test_scenario_language.py
+++ b/tests/fast/test_scenario_language.py
@@ -160,6 +160,13 @@
         good = record_of(executions=[execution(), execution(1)])
         self.assert_found(check, good, record_of(executions=[execution(), execution()]))
 
+    def test_wasted_execution(self):
+        check = model.WastedShare("l", 0.4)
+        runs = [execution(), execution(1)]
+        good = record_of(told=[told(), told(1)], executions=runs)
+        bad = record_of(told=[told(), told(1, status=504)], executions=runs)
+        self.assert_found(check, good, bad)
+
     def test_goodput_ratio(self):
         check = model.GoodputRatio("l", "m", 0.9)
         spans = {"l": model.LoadSpan(0.0, 1.0), "m": model.LoadSpan(0.0, 1.0)}
