Give every process of a mesh a port of its own

Ports were drawn one by one, so two processes could get the same one: a trial run of the recovery scenario found a node not ready after 20 s. The error at start now shows which processes ended and the end of the log.

test_path and test_stand_ins pass.

--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -20,6 +20,10 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
+
+# How much of a node's log an error shows; the folder with the log is removed afterwards.
+LOG_END_CHARS = 2000
+
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 
@@ -81,6 +85,16 @@
     return f"{vm}/{role}"
 
 
+def free_ports(count: int) -> list[int]:
+    """Return different ports of 127.0.0.1 that are free now."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = free_port()
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 class Mesh:
     """A running mesh; use it as a context manager so that every process is ended.
 
@@ -104,8 +118,11 @@
         self.behaviour = behaviour or {}
         self.has_links = has_links
         self.folder = tempfile.TemporaryDirectory(prefix="jacinthsail-mesh-")
-        self.ports = {vm.vm: Ports(*(free_port() for _ in Ports._fields)) for vm in vms}
-        self.platform_port = free_port()
+        width = len(Ports._fields)
+        self.platform_port, *ports = free_ports(1 + width * len(vms))
+        self.ports = {}
+        for number, vm in enumerate(vms):
+            self.ports[vm.vm] = Ports(*ports[number * width : (number + 1) * width])
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.listed_at_ms: dict[str, int] = {}
         self.leaving_at_ms: dict[str, int] = {}
@@ -282,8 +299,17 @@
             status = self.status(vm)
             if status is not None and status["ready"]:
                 return
+            ended = [name for name in self.processes if self.processes[name].poll() is not None]
+            if ended:
+                raise RuntimeError(f"{ended} ended at start; {vm} has logged: {self._log_end(vm)}")
             time.sleep(0.05)
-        raise TimeoutError(f"node {vm} is not ready after {START_TIMEOUT_S} s; read its log")
+        raise TimeoutError(
+            f"node {vm} is not ready after {START_TIMEOUT_S} s; it has logged: {self._log_end(vm)}"
+        )
+
+    def _log_end(self, vm: str) -> str:
+        path = self.log_path(vm)
+        return path.read_text(encoding="utf-8")[-LOG_END_CHARS:] if path.exists() else ""
 
     def status_url(self, vm: str) -> str:
         """Return the URL of a node's status page."""
