--- a/src/jacinthsail/testing/scenario_checks.py
+++ b/src/jacinthsail/testing/scenario_checks.py
@@ -242,16 +242,25 @@
 
 
 def load_figures(record: RunRecord) -> list[str]:
-    """Return one line for each load with the counts of what its clients were told."""
+    """Return two lines for each load: what its clients were told, and answers by second sent."""
     lines = []
     for label in record["spans"]:
         calls = [told for told in record["told"] if told.label == label]
         counts = Counter(_kind(told) for told in calls)
         shown = ", ".join(f"{count} {kind}" for kind, count in counts.most_common())
         lines.append(f"{label}: {len(calls)} calls: {shown}")
+        lines.append(f"{label}: answered by second: {_answered_by_second(record, label)}")
     return lines
 
 
+def _answered_by_second(record: RunRecord, label: str) -> str:
+    span = record["spans"][label]
+    counts: Counter[int] = Counter()
+    for told in _final(record, label, 0.0):
+        counts[int(told.sent_at - span.started_at)] += told.status == 200
+    return " ".join(str(counts[second]) for second in sorted(counts))
+
+
 def _kind(told: Told) -> str:
     reason = told.reason or str(told.status)
     return f"{told.outcome} ({reason})"
--- a/src/jacinthsail/testing/scenario_clients.py
+++ b/src/jacinthsail/testing/scenario_clients.py
@@ -48,6 +48,7 @@
 ) -> None:
     key = await _key_for(mix, entry, client)
     if key is None:
+        client.record["told"].append(_told_no_key(load, mix, plan_id))
         return
     copies = []
     for copy in range(mix.repeats):
@@ -57,6 +58,24 @@
     await asyncio.gather(*copies)
 
 
+def _told_no_key(load: Load, mix: Mix, plan_id: str) -> Told:
+    return Told(
+        label=load.label,
+        request_id=plan_id,
+        plan_id=plan_id,
+        key="",
+        service=mix.service,
+        call_class=mix.call_class,
+        sent_at=time.monotonic(),
+        latency_s=0.0,
+        status=0,
+        outcome=NO_ANSWER,
+        reason="no-key-issued",
+        body="",
+        is_last=True,
+    )
+
+
 async def _key_for(mix: Mix, entry: str, client: Client) -> str | None:
     if mix.key == "none":
         return ""
--- a/src/jacinthsail/testing/scenario_loader.py
+++ b/src/jacinthsail/testing/scenario_loader.py
@@ -17,7 +17,9 @@
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.schema import parse_toml
 from jacinthsail.testing import scenario_model as model
+from jacinthsail.testing.link import LinkBehaviour
 from jacinthsail.testing.mesh import MeshVm
+from jacinthsail.testing.target_model import Behaviour
 
 STEPS: dict[str, type[NamedTuple]] = {
     "load": model.Load,
@@ -114,7 +116,7 @@
     steps = _variants(table["step"], "step", "do", STEPS, faults)
     checks = _variants(table["check"], "check", "that", CHECKS, faults)
     for number, step in enumerate(steps):
-        _check_calls(step, f"step[{number}]", faults)
+        _check_contents(step, f"step[{number}]", faults)
     mesh = _mesh_of(table["mesh"], faults)
     twin = _twin_of(table, faults)
     if faults.errors:
@@ -147,12 +149,19 @@
         faults.errors.append(MissingKey(faults.source, "mesh.vms"))
     disabled = tuple(table.get("disabled", ()))
     _report_unknown_mechanisms(disabled, "mesh.disabled", faults)
+    names = tuple(vm.vm for vm in vms)
+    disabled_on = table.get("disabled_on", {})
+    _report_unknown(disabled_on, names, "mesh.disabled_on.", faults)
+    for vm_name, mechanisms in disabled_on.items():
+        _report_unknown_mechanisms(tuple(mechanisms), f"mesh.disabled_on.{vm_name}", faults)
+    behaviour = table.get("target", {})
+    _report_unknown(behaviour, tuple(get_type_hints(Behaviour)), "mesh.target.", faults)
     return model.MeshPlan(
         vms=tuple(vms),
         sections=table.get("sections", {}),
-        behaviour=table.get("target", {}),
+        behaviour=behaviour,
         disabled=disabled,
-        disabled_on=table.get("disabled_on", {}),
+        disabled_on=disabled_on,
         links=table.get("links", False),
     )
 
@@ -215,21 +224,32 @@
 
 
 @singledispatch
-def _check_calls(step: object, place: str, faults: Faults) -> None:
-    """Report what does not fit in the kinds of calls that a step sends."""
+def _check_contents(step: object, place: str, faults: Faults) -> None:
+    """Report what does not fit in the tables inside a step."""
 
 
-@_check_calls.register
+@_check_contents.register
 def _(step: model.Load, place: str, faults: Faults) -> None:
     for number, table in enumerate(step.mix):
         _record_of(table, model.Mix, f"{place}.mix[{number}]", faults)
 
 
-@_check_calls.register
+@_check_contents.register
 def _(step: model.Call, place: str, faults: Faults) -> None:
     _record_of(step.call, model.Mix, f"{place}.call", faults)
 
 
+@_check_contents.register
+def _(step: model.Target, place: str, faults: Faults) -> None:
+    _report_unknown(step.behaviour, tuple(get_type_hints(Behaviour)), f"{place}.behaviour.", faults)
+
+
+@_check_contents.register
+def _(step: model.Link, place: str, faults: Faults) -> None:
+    known = tuple(get_type_hints(LinkBehaviour))
+    _report_unknown(step.behaviour, known, f"{place}.behaviour.", faults)
+
+
 def mix_of(load: model.Load) -> tuple[model.Mix, ...]:
     """Return the kinds of calls in a load that was read without faults."""
     mixes = []
--- a/tests/fast/test_scenario_language.py
+++ b/tests/fast/test_scenario_language.py
@@ -87,6 +87,15 @@
             ("seconds = 1", 'seconds = "1"'): WrongType(
                 "x.toml", "step[0].seconds", "float", "'1'"
             ),
+            ("[[step]]", "target = { slot = 1 }\n[[step]]"): UnknownKey(
+                "x.toml", "mesh.target.slot"
+            ),
+            ("[[step]]", "disabled_on = { b = [] }\n[[step]]"): UnknownKey(
+                "x.toml", "mesh.disabled_on.b"
+            ),
+            ("[[check]]", '[[step]]\ndo = "link"\nvms = []\nbehaviour = { x = 1 }\n[[check]]'): (
+                UnknownKey("x.toml", "step[1].behaviour.x")
+            ),
             ('guards = "An example."', ""): MissingKey("x.toml", "guards"),
         }
         for (old, new), error in cases.items():
