--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -21,6 +21,12 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 
+# How much of a node's log an error shows; the folder with the log is removed afterwards.
+LOG_END_CHARS = 2000
+
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
 # VMs are published as listed this long ago, so that keys born now may have them as their home.
 LISTED_AGO_MS = 60_000
 
@@ -45,6 +51,8 @@
     target: int
     link: int
     link_control: int
+    platform_link: int
+    platform_link_control: int
 
 
 class Reply(NamedTuple):
@@ -56,36 +64,37 @@
     body: str
 
 
-# Below the range from which the kernel takes the ports of outgoing connections. From that range, a
-# connection between nodes took the port of a process that had not started yet.
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-
-_given_ports: set[int] = set()
-
-
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that is free now and was not returned before."""
+    """Return a port of 127.0.0.1 that is free now.
+
+    The ports lie below the range from which outgoing connections take theirs, since such a
+    connection could take the port before the process that is to listen there has started.
+    """
     while True:
         port = random.randint(FIRST_PORT, LAST_PORT)
-        if port in _given_ports:
-            continue
         with socket.socket() as probe:
-            # As servers do; otherwise ports of connections that ended a moment ago look taken.
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        _given_ports.add(port)
-        return port
+            return port
 
 
 def process_name(vm: str, role: str) -> str:
-    """Return the name of one process of a VM; the role is node, target or link."""
+    """Return the name of one process of a VM."""
     return f"{vm}/{role}"
 
 
+def free_ports(count: int) -> list[int]:
+    """Return different ports of 127.0.0.1 that are free now."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = free_port()
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 class Mesh:
     """A running mesh; use it as a context manager so that every process is ended.
 
@@ -109,8 +118,11 @@
         self.behaviour = behaviour or {}
         self.has_links = has_links
         self.folder = tempfile.TemporaryDirectory(prefix="jacinthsail-mesh-")
-        self.ports = {vm.vm: Ports(*(free_port() for _ in Ports._fields)) for vm in vms}
-        self.platform_port = free_port()
+        width = len(Ports._fields)
+        self.platform_port, *ports = free_ports(1 + width * len(vms))
+        self.ports = {}
+        for number, vm in enumerate(vms):
+            self.ports[vm.vm] = Ports(*ports[number * width : (number + 1) * width])
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.listed_at_ms: dict[str, int] = {}
         self.leaving_at_ms: dict[str, int] = {}
@@ -159,14 +171,16 @@
         self.start_process(vm, "target")
         if self.has_links:
             self.start_process(vm, "link")
+            self.start_process(vm, "platform-link")
         self.start_process(vm, "node")
 
     def start_process(self, vm: str, role: str) -> None:
-        """Start one process of a VM: its node, target or link."""
+        """Start one process of a VM: node, target, link or platform-link."""
         starters = {
             "node": self._start_node,
             "target": self._start_target,
             "link": self._start_link,
+            "platform-link": self._start_platform_link,
         }
         starters[role](vm)
 
@@ -184,13 +198,14 @@
 
     def _start_link(self, vm: str) -> None:
         ports = self.ports[vm]
-        flags = [
-            f"--port={ports.link_control}",
-            f"--relay_port={ports.link}",
-            f"--to_port={ports.relay}",
-        ]
+        flags = _link_flags(ports.link_control, ports.link, ports.relay)
         self._start_standin(process_name(vm, "link"), "link", flags)
 
+    def _start_platform_link(self, vm: str) -> None:
+        ports = self.ports[vm]
+        flags = _link_flags(ports.platform_link_control, ports.platform_link, self.platform_port)
+        self._start_standin(process_name(vm, "platform-link"), "link", flags)
+
     def _start_node(self, vm: str) -> None:
         settings = Path(self.folder.name) / f"{vm}.toml"
         settings.write_text(self._settings_of(vm), encoding="utf-8")
@@ -215,7 +230,7 @@
             "relay": ports.relay,
             "operators": ports.operators,
             "target": ports.target,
-            "platform": self.platform_port,
+            "platform": ports.platform_link if self.has_links else self.platform_port,
         }
         for name, port in endpoints.items():
             lines += [f"[{name}]", f'host = "{HOST}"', f"port = {port}"]
@@ -284,8 +299,17 @@
             status = self.status(vm)
             if status is not None and status["ready"]:
                 return
+            ended = [name for name in self.processes if self.processes[name].poll() is not None]
+            if ended:
+                raise RuntimeError(f"{ended} ended at start; {vm} has logged: {self._log_end(vm)}")
             time.sleep(0.05)
-        raise TimeoutError(f"node {vm} is not ready after {START_TIMEOUT_S} s; read its log")
+        raise TimeoutError(
+            f"node {vm} is not ready after {START_TIMEOUT_S} s; it has logged: {self._log_end(vm)}"
+        )
+
+    def _log_end(self, vm: str) -> str:
+        path = self.log_path(vm)
+        return path.read_text(encoding="utf-8")[-LOG_END_CHARS:] if path.exists() else ""
 
     def status_url(self, vm: str) -> str:
         """Return the URL of a node's status page."""
@@ -308,7 +332,11 @@
         """Return the control URL of a stand-in; the platform's has an empty ``vm``."""
         ports = {PLATFORM: self.platform_port}
         if vm:
-            ports |= {"target": self.ports[vm].target, "link": self.ports[vm].link_control}
+            ports |= {
+                "target": self.ports[vm].target,
+                "link": self.ports[vm].link_control,
+                "platform-link": self.ports[vm].platform_link_control,
+            }
         return f"http://{HOST}:{ports[role]}/control"
 
     def call(
@@ -335,6 +363,10 @@
     return Reply(status, outcome, reason, body.decode())
 
 
+def _link_flags(control_port: int, relay_port: int, to_port: int) -> list[str]:
+    return [f"--port={control_port}", f"--relay_port={relay_port}", f"--to_port={to_port}"]
+
+
 def _wait_for(url: str) -> None:
     latest = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < latest:
