Run at-most-once calls only at the home of their key

Cause: a repeated call of an at-most-once class ran again at any target. Change: keys are parsed into issued and timed keys, routed to their home only, and checked there against a ledger before admission. Entry nodes issue keys for calls that bring none. VM lists that were in force are kept as departures, and confirmations of the platform bound which timed keys a home may run. Pauses drop the confirmation and what was believed of peers.

--- /dev/null
+++ b/src/jacinthsail/internal/adapters/clock.py
@@ -0,0 +1,61 @@
+"""Reads the clocks of the machine for the decisions that take a time."""
+
+import asyncio
+import logging
+import time
+from functools import singledispatch
+from typing import Any
+
+import mode
+
+from jacinthsail.internal.commands.pauses import observe_clock
+from jacinthsail.internal.model.clock import Paused
+from jacinthsail.internal.model.settings import Mechanism
+from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.pauses import TICK_S, decide_pause
+
+_LOG = logging.getLogger(__name__)
+
+
+def wall_clock_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
+def observe_time(state: NodeState) -> None:
+    """Observe the clocks at the start of an event, before anything is decided on old knowledge."""
+    if Mechanism.PAUSE_DETECTION in state["settings"].disabled:
+        return
+    now = asyncio.get_running_loop().time()
+    now_ms = wall_clock_ms()
+    decision = decide_pause(state["clock"], now, now_ms)
+    _log_pause(decision)
+    observe_clock(state, decision, now, now_ms)
+
+
+class ClockService(mode.Service):
+    """Observes the clocks when no event does, so that an idle process does not look paused."""
+
+    def __init__(self, state: NodeState, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self.node_state = state
+
+    @mode.Service.task
+    async def tick(self) -> None:
+        """Observe the clocks until the node stops."""
+        while not self.should_stop:
+            observe_time(self.node_state)
+            await self.sleep(TICK_S)
+
+
+@singledispatch
+def _log_pause(decision: object) -> None:
+    """Log nothing while the process runs."""
+
+
+@_log_pause.register
+def _(decision: Paused) -> None:
+    _LOG.warning(
+        "process stood still for %.1f s; placement and health of peers are unconfirmed",
+        decision.length_s,
+    )
--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -39,6 +39,7 @@
         self.peer_vm = ""
         self.last_received = 0.0
         self.opened_at = 0.0
+        self.introduced = asyncio.Event()
         self.serving: dict[int, asyncio.Task[None]] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -9,19 +9,44 @@
 from random import Random
 
 import aiohttp
+from returns.result import Failure, Success
 
+from jacinthsail.internal.adapters.clock import wall_clock_ms
 from jacinthsail.internal.adapters.decision_log import log_decision
 from jacinthsail.internal.adapters.gate import AdmissionGate
+from jacinthsail.internal.adapters.key_issuer import KeyIssuer
 from jacinthsail.internal.adapters.relay import RelayPool
 from jacinthsail.internal.adapters.target import call_target
+from jacinthsail.internal.commands.idempotency import (
+    record_interrupted,
+    record_outcome,
+    record_running,
+    record_waiting,
+)
 from jacinthsail.internal.commands.retries import grant_allowance, spend_retry, take_allowance
 from jacinthsail.internal.model.admission import QueuedCall
-from jacinthsail.internal.model.calls import Call, NotRun, Outcome, Reason
+from jacinthsail.internal.model.calls import Call, NotRun, Outcome, Reason, ServedCall, Unknown
 from jacinthsail.internal.model.decisions import DecisionKind
 from jacinthsail.internal.model.document import ClassPolicy
-from jacinthsail.internal.model.routing import Refused, ToOwnTarget, ToPeer
+from jacinthsail.internal.model.idempotency import (
+    IdempotencyKey,
+    KeyUnknown,
+    RefuseKey,
+    ReplayAnswer,
+    RunKey,
+)
+from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer, Unsettled
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.admission import RETRY_AFTER_S
 from jacinthsail.internal.queries.decision_lines import decision_line, line_of
+from jacinthsail.internal.queries.idempotency import (
+    decide_key,
+    fingerprint_of,
+    is_at_most_once,
+    key_text,
+    outcome_for_given_key,
+    parse_key,
+)
 from jacinthsail.internal.queries.limits import sample_of
 from jacinthsail.internal.queries.lookup import class_policy
 from jacinthsail.internal.queries.retries import allowance_of, decide_retry
@@ -42,15 +67,43 @@
         self.session = session
         self.relay_pool = relay_pool
         self.random = random
+        self.key_issuer = KeyIssuer(state, relay_pool, random)
         self.gate = AdmissionGate(state["admission"])
         self.loop = asyncio.get_running_loop()
 
-    async def serve_entry(self, call: Call) -> Outcome:
-        """Serve a call from a caller or from the own target, with retries."""
+    async def serve_caller(self, call: Call) -> ServedCall:
+        """Serve a call from a caller or from the own target, which gets a key if it needs one."""
+        head = call.head
+        if class_policy(self.node_state["store"], head.service, head.call_class) is None:
+            return ServedCall(NotRun(Reason.UNKNOWN_CLASS, 0), head.idempotency_key)
+        if not is_at_most_once(self.node_state, head.service, head.call_class):
+            return ServedCall(await self.serve_entry(call), "")
+        if head.idempotency_key:
+            return ServedCall(await self.serve_entry(call), head.idempotency_key)
+        match await self.key_issuer.issue(head):
+            case Success(key):
+                head = head._replace(idempotency_key=key_text(key))
+                outcome = await self.serve_entry(call._replace(head=head), key_is_new=True)
+                return ServedCall(outcome, head.idempotency_key)
+            case Failure(refused):
+                return ServedCall(NotRun(refused.reason, head.retries_left, RETRY_AFTER_S), "")
+        raise AssertionError("a result is a success or a failure")
+
+    async def serve_entry(self, call: Call, *, key_is_new: bool = False) -> Outcome:
+        """Serve a call with retries; ``key_is_new`` when no earlier call can have used its key."""
+        outcome, route = await self._serve_entry(call)
+        head = call.head
+        if key_is_new or not head.idempotency_key:
+            return outcome
+        if not is_at_most_once(self.node_state, head.service, head.call_class):
+            return outcome
+        return outcome_for_given_key(outcome, route)
+
+    async def _serve_entry(self, call: Call) -> tuple[Outcome, Route]:
         head = call.head
         policy = class_policy(self.node_state["store"], head.service, head.call_class)
         if policy is None:
-            return NotRun(Reason.UNKNOWN_CLASS, 0)
+            return NotRun(Reason.UNKNOWN_CLASS, 0), Refused(Reason.UNKNOWN_CLASS)
         if head.depth > 0:
             return await self._serve_with_retries(call, policy)
         retries = self.node_state["retries"]
@@ -60,7 +113,7 @@
         finally:
             take_allowance(retries, head.request_id)
 
-    async def _serve_with_retries(self, call: Call, policy: ClassPolicy) -> Outcome:
+    async def _serve_with_retries(self, call: Call, policy: ClassPolicy) -> tuple[Outcome, Route]:
         retries = self.node_state["retries"]
         tried: frozenset[str] = frozenset()
         while True:
@@ -73,12 +126,50 @@
             decision = decide_retry(outcome, retries, head, policy, self.loop.time())
             log_decision(line_of(decision, head, self.loop.time()))
             if not decision.again:
-                return outcome._replace(retries_left=allowance_of(retries, head.request_id))
+                remaining = allowance_of(retries, head.request_id)
+                return outcome._replace(retries_left=remaining), route
             spend_retry(retries, head.request_id, head.call_class)
             tried = tried | {vm_of(route, self.node_state)}
             await asyncio.sleep(decision.delay_s)
 
     async def serve_own(self, call: Call) -> Outcome:
+        """Run a call at the own target, unless its key says that it may have run already."""
+        head = call.head
+        if not is_at_most_once(self.node_state, head.service, head.call_class):
+            return await self._serve_admitted(call, None)
+        if not head.idempotency_key:
+            return NotRun(Reason.KEY_REQUIRED, head.retries_left)
+        match parse_key(head.idempotency_key):
+            case Success(key):
+                return await self._serve_keyed(call, key)
+            case Failure(_):
+                return NotRun(Reason.KEY_MALFORMED, head.retries_left)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _serve_keyed(self, call: Call, key: IdempotencyKey) -> Outcome:
+        head = call.head
+        fingerprint = fingerprint_of(call)
+        decision = decide_key(key, self.node_state, head.service, fingerprint, wall_clock_ms())
+        log_decision(line_of(decision, head, self.loop.time()))
+        return await execute_key_decision(decision, self, call, key)
+
+    async def run_keyed(self, call: Call, key: IdempotencyKey) -> Outcome:
+        """Run a call whose key is new, and keep the ledger true whichever way the call ends.
+
+        The entry precedes admission, so that a second call with the key is not admitted while the
+        first one waits.
+        """
+        ledger = self.node_state["ledger"]
+        record_waiting(ledger, key, fingerprint_of(call))
+        try:
+            outcome = await self._serve_admitted(call, key)
+        except BaseException:
+            record_interrupted(ledger, key)
+            raise
+        record_outcome(ledger, key, outcome)
+        return outcome
+
+    async def _serve_admitted(self, call: Call, key: IdempotencyKey | None) -> Outcome:
         """Run a call at the own target once admission gives it a slot."""
         head = call.head
         entry = await self.gate.enter(head, self.loop.time())
@@ -88,6 +179,8 @@
             log_decision(decision_line(DecisionKind.ADMISSION, head, "", reason, now))
             return entry.refusal
         assert entry.started is not None
+        if key is not None:
+            record_running(self.node_state["ledger"], key)
         grant_allowance(self.node_state["retries"], head.request_id, head.retries_left)
         outcome = await self._run_at_target(call, entry.started)
         remaining = allowance_of(self.node_state["retries"], head.request_id)
@@ -127,3 +220,42 @@
 @execute_route.register
 async def _(route: Refused, dispatcher: Dispatcher, call: Call) -> Outcome:
     return NotRun(route.reason, call.head.retries_left)
+
+
+@execute_route.register
+async def _(route: Unsettled, dispatcher: Dispatcher, call: Call) -> Outcome:
+    return Unknown(route.reason, call.head.retries_left)
+
+
+@singledispatch
+async def execute_key_decision(
+    decision: object, dispatcher: Dispatcher, call: Call, key: IdempotencyKey
+) -> Outcome:
+    """Carry out what the home of a key decided and return the outcome of the call."""
+    raise NotImplementedError(f"no execution for {type(decision).__name__}; register one")
+
+
+@execute_key_decision.register
+async def _(decision: RunKey, dispatcher: Dispatcher, call: Call, key: IdempotencyKey) -> Outcome:
+    return await dispatcher.run_keyed(call, key)
+
+
+@execute_key_decision.register
+async def _(
+    decision: ReplayAnswer, dispatcher: Dispatcher, call: Call, key: IdempotencyKey
+) -> Outcome:
+    return decision.answer._replace(retries_left=call.head.retries_left)
+
+
+@execute_key_decision.register
+async def _(
+    decision: RefuseKey, dispatcher: Dispatcher, call: Call, key: IdempotencyKey
+) -> Outcome:
+    return NotRun(decision.reason, call.head.retries_left)
+
+
+@execute_key_decision.register
+async def _(
+    decision: KeyUnknown, dispatcher: Dispatcher, call: Call, key: IdempotencyKey
+) -> Outcome:
+    return Unknown(decision.reason, call.head.retries_left)
--- a/src/jacinthsail/internal/adapters/frontend.py
+++ b/src/jacinthsail/internal/adapters/frontend.py
@@ -10,9 +10,12 @@
 
 from jacinthsail.errors import MalformedMessage, describe
 from jacinthsail.internal.adapters import headers
+from jacinthsail.internal.adapters.clock import observe_time
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
-from jacinthsail.internal.model.calls import Call, CallHead, Outcome
+from jacinthsail.internal.model.calls import Call, CallHead, NotRun, Outcome
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.admission import RETRY_AFTER_S
+from jacinthsail.internal.queries.idempotency import key_request_head, key_text
 from jacinthsail.internal.queries.lookup import class_policy
 from jacinthsail.internal.queries.rank import rank_of
 
@@ -23,6 +26,7 @@
 MAX_DEPTH = 16
 
 _CALL_PREFIX = "/v1/services/"
+_KEY_PREFIX = "/v1/keys/"
 
 
 class Frontend(mode.Service):
@@ -57,23 +61,44 @@
             self.calls_in_progress -= 1
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        observe_time(self.node_state)
+        if request.method == "POST" and request.path.startswith(_KEY_PREFIX):
+            return await self._issue_key(request.path.removeprefix(_KEY_PREFIX))
         if request.method != "POST" or not request.path.startswith(_CALL_PREFIX):
             return web.Response(status=404, text="POST /v1/services/<service>/<class>\n")
         body = await request.read()
         now = asyncio.get_running_loop().time()
         match parse_call(request, body, self.node_state, now):
             case Success(call):
-                return response_of(await self.dispatcher.serve_entry(call))
+                served = await self.dispatcher.serve_caller(call)
+                return response_of(served.outcome, served.key)
             case Failure(error):
                 return web.Response(status=400, text=describe(error) + "\n")
         raise AssertionError("a result is a success or a failure")
 
+    async def _issue_key(self, service: str) -> web.Response:
+        now = asyncio.get_running_loop().time()
+        head = key_request_head(self.node_state, service, now)
+        if head is None:
+            text = f"no section describes {service!r} with an at-most-once class; check its name\n"
+            return web.Response(status=404, text=text)
+        match await self.dispatcher.key_issuer.issue(head):
+            case Success(key):
+                text = key_text(key)
+                return web.Response(headers={headers.IDEMPOTENCY_KEY: text}, text=text + "\n")
+            case Failure(refused):
+                return response_of(NotRun(refused.reason, 0, RETRY_AFTER_S), "")
+        raise AssertionError("a result is a success or a failure")
+
 
-def response_of(outcome: Outcome) -> web.Response:
-    """Return the HTTP response for an outcome."""
+def response_of(outcome: Outcome, key: str) -> web.Response:
+    """Return the HTTP response for an outcome, with the key to ask again with, if there is one."""
+    reply_headers = headers.reply_headers(outcome)
+    if key:
+        reply_headers[headers.IDEMPOTENCY_KEY] = key
     return web.Response(
         status=headers.reply_status(outcome),
-        headers=headers.reply_headers(outcome),
+        headers=reply_headers,
         body=headers.reply_body(outcome),
     )
 
--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -9,6 +9,7 @@
 import aiohttp
 import mode
 
+from jacinthsail.internal.adapters.clock import ClockService
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
 from jacinthsail.internal.adapters.frontend import Frontend
 from jacinthsail.internal.adapters.operators import OperatorsPort
@@ -47,6 +48,7 @@
         )
         self.relay_pool.serve_own = self.dispatcher.serve_own
         self.frontend = Frontend(self.node_state, self.dispatcher)
+        await self.add_runtime_dependency(ClockService(self.node_state))
         await self.add_runtime_dependency(self.relay_pool)
         await self.add_runtime_dependency(PlatformClient(self.node_state, self.session))
         await self.add_runtime_dependency(OperatorsPort(self.node_state))
--- a/src/jacinthsail/internal/adapters/platform.py
+++ b/src/jacinthsail/internal/adapters/platform.py
@@ -7,11 +7,13 @@
 import mode
 
 from jacinthsail.internal.commands.admission import apply_service_policy
+from jacinthsail.internal.commands.placement import record_confirmation
 from jacinthsail.internal.commands.replication import accept_item
 from jacinthsail.internal.model.replication import Item
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.documents import digest_of
 from jacinthsail.internal.queries.lookup import service_policy
+from jacinthsail.internal.queries.placement import lists_are_current
 from jacinthsail.internal.queries.replication import decide_item
 
 WATCH_TIMEOUT_S = 10.0
@@ -46,6 +48,8 @@
         for version in change["items"]:
             await self._fetch(version["name"])
         self.revision = change["revision"]
+        if lists_are_current(self.node_state["store"]):
+            record_confirmation(self.node_state["store"], change["as_of_ms"])
 
     async def _fetch(self, name: str) -> None:
         async with self.session.get(f"{self.base_url}/items/{name}") as response:
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -7,6 +7,7 @@
 
 import mode
 
+from jacinthsail.internal.adapters.clock import observe_time
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.commands.peers import (
     change_in_flight,
@@ -97,6 +98,21 @@
             if peer is not None:
                 change_in_flight(peer, -1)
 
+    async def incarnation_of(self, entry: VmEntry) -> str:
+        """Return the incarnation of a peer's node as it says itself, or an empty text."""
+        connection = await self.connection_to(entry)
+        if connection is None:
+            self._suspect(entry.vm)
+            return ""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await connection.introduced.wait()
+        except TimeoutError:
+            self._suspect(entry.vm)
+            return ""
+        peer = self.node_state["peers"].get(entry.vm)
+        return "" if peer is None else peer["incarnation"]
+
     async def connection_to(self, entry: VmEntry) -> PeerConnection | None:
         """Return an open connection to a peer, or None when it cannot be reached."""
         connection = self.connections.get(entry.vm)
@@ -154,6 +170,7 @@
 
     def receive(self, connection: PeerConnection, message: Message) -> None:
         """Handle one message from a peer."""
+        observe_time(self.node_state)
         handle_message(message, self, connection)
 
     async def serve(self, connection: PeerConnection, request: CallRequest) -> None:
@@ -178,6 +195,7 @@
 @handle_message.register
 def _(message: Hello, pool: RelayPool, connection: PeerConnection) -> None:
     answers_hello = connection.peer_vm == ""
+    connection.introduced.set()
     connection.peer_vm = message.vm
     record_hello(pool.node_state["peers"], message, connection.last_received)
     if answers_hello:
--- a/src/jacinthsail/internal/commands/replication.py
+++ b/src/jacinthsail/internal/commands/replication.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from jacinthsail.internal.commands.placement import record_departures
 from jacinthsail.internal.model.replication import (
     NewSection,
     NewVmList,
@@ -35,6 +36,7 @@
 @_accept.register
 def _(decision: NewVmList, store: StoreState, now: float) -> None:
     item = decision.item
+    record_departures(store, item.name, decision.vm_list)
     store["items"][item.name] = item
     store["vm_lists"][item.name] = decision.vm_list
     store["newest_seen"][item.name] = item.version
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -32,7 +32,10 @@
     KEY_MALFORMED = "key-malformed"
     KEY_FROM_FUTURE = "key-from-future"
     KEY_TOO_OLD = "key-too-old"
+    KEY_NEW = "key-new"
+    KEY_FINISHED = "key-finished"
     KEY_RUNNING = "key-running"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     KEY_REUSED = "key-reused"
     KEY_HOME_GONE = "key-home-gone"
     KEY_HOME_ELSEWHERE = "key-home-elsewhere"
@@ -93,3 +96,10 @@
 
 
 Outcome = Answered | NotRun | Unknown
+
+
+class ServedCall(NamedTuple):
+    """The outcome of a call at its entry node, and the key to ask again with, if there is one."""
+
+    outcome: Outcome
+    key: str
--- a/src/jacinthsail/internal/model/replication.py
+++ b/src/jacinthsail/internal/model/replication.py
@@ -4,6 +4,7 @@
 
 from jacinthsail.errors import ConfigurationError
 from jacinthsail.internal.model.document import Section
+from jacinthsail.internal.model.idempotency import PlacementState
 from jacinthsail.internal.model.membership import VmList
 
 
@@ -45,6 +46,7 @@
     rejected: dict[str, RejectedVersion]
     as_of_ms: int
     changed_at: float
+    placement: PlacementState
 
 
 class NewSection(NamedTuple):
--- a/src/jacinthsail/internal/model/routing.py
+++ b/src/jacinthsail/internal/model/routing.py
@@ -23,7 +23,13 @@
     reason: Reason
 
 
-Route = ToOwnTarget | ToPeer | Refused
+class Unsettled(NamedTuple):
+    """No node can tell whether an earlier call with the same key ran."""
+
+    reason: Reason
+
+
+Route = ToOwnTarget | ToPeer | Refused | Unsettled
 
 
 class RetryDecision(NamedTuple):
--- a/src/jacinthsail/internal/queries/decision_lines.py
+++ b/src/jacinthsail/internal/queries/decision_lines.py
@@ -4,7 +4,14 @@
 
 from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.decisions import DecisionKind, DecisionLine
-from jacinthsail.internal.model.routing import Refused, RetryDecision, ToOwnTarget, ToPeer
+from jacinthsail.internal.model.idempotency import KeyUnknown, RefuseKey, ReplayAnswer, RunKey
+from jacinthsail.internal.model.routing import (
+    Refused,
+    RetryDecision,
+    ToOwnTarget,
+    ToPeer,
+    Unsettled,
+)
 
 
 def decision_line(
@@ -18,7 +25,7 @@
 
 @singledispatch
 def line_of(decision: object, head: CallHead, now: float) -> DecisionLine:
-    """Return the line for a routing or retry decision."""
+    """Return the line for a routing, placement or retry decision."""
     raise NotImplementedError(f"no log line for {type(decision).__name__}; register one")
 
 
@@ -38,6 +45,31 @@
     return decision_line(DecisionKind.ROUTE, head, "", decision.reason, now)
 
 
+@line_of.register
+def _(decision: Unsettled, head: CallHead, now: float) -> DecisionLine:
+    return decision_line(DecisionKind.ROUTE, head, "", decision.reason, now)
+
+
+@line_of.register
+def _(decision: RunKey, head: CallHead, now: float) -> DecisionLine:
+    return decision_line(DecisionKind.PLACEMENT, head, "run", Reason.KEY_NEW, now)
+
+
+@line_of.register
+def _(decision: ReplayAnswer, head: CallHead, now: float) -> DecisionLine:
+    return decision_line(DecisionKind.PLACEMENT, head, "replay", Reason.KEY_FINISHED, now)
+
+
+@line_of.register
+def _(decision: RefuseKey, head: CallHead, now: float) -> DecisionLine:
+    return decision_line(DecisionKind.PLACEMENT, head, "", decision.reason, now)
+
+
+@line_of.register
+def _(decision: KeyUnknown, head: CallHead, now: float) -> DecisionLine:
+    return decision_line(DecisionKind.PLACEMENT, head, "", decision.reason, now)
+
+
 @line_of.register
 def _(decision: RetryDecision, head: CallHead, now: float) -> DecisionLine:
     chosen = "again" if decision.again else ""
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -9,12 +9,21 @@
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.admission import queue_order
 
+# A quarter of the 128 MB that a node may use.
+LEDGER_BYTES = 32 * 1024 * 1024
+
 
 def initial_state(settings: NodeSettings, incarnation: str, now: float, now_ms: int) -> NodeState:
     """Return the state of a node at its start."""
     return NodeState(
         settings=settings,
-        clock={"started_at": now, "started_at_ms": now_ms, "last_seen": now, "pauses": 0},
+        clock={
+            "started_at": now,
+            "started_at_ms": now_ms,
+            "last_seen": now,
+            "last_seen_ms": now_ms,
+            "pauses": 0,
+        },
         store={
             "items": {},
             "sections": {},
@@ -23,6 +32,12 @@
             "rejected": {},
             "as_of_ms": 0,
             "changed_at": now,
+            "placement": {
+                "confirmed_ms": 0,
+                "last_confirmed_ms": 0,
+                "floor_ms": 0,
+                "departed": {},
+            },
         },
         admission=initial_admission(now),
         retries={"tokens": {}, "allowances": {}},
@@ -30,6 +45,8 @@
             "incarnation": incarnation,
             "entries": OrderedDict(),
             "capacity": settings.ledger_entries,
+            "capacity_bytes": LEDGER_BYTES,
+            "answer_bytes": 0,
             "low_water_ms": 0,
             "low_water_sequence": 0,
             "next_sequence": 1,
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -15,6 +15,10 @@
         Reason.NO_TARGET,
         Reason.DEADLINE_EXPIRED,
         Reason.RETRIES_SPENT,
+        Reason.KEY_REQUIRED,
+        Reason.KEY_MALFORMED,
+        Reason.KEY_FROM_FUTURE,
+        Reason.KEY_REUSED,
     }
 )
 
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -3,12 +3,17 @@
 from functools import singledispatch
 from random import Random
 
+from returns.result import Failure, Success
+
 from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.document import ClassPolicy, SpillOver
+from jacinthsail.internal.model.idempotency import IssuedKey, TimedKey
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
-from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer
+from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer, Unsettled
 from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.idempotency import is_at_most_once, parse_key
 from jacinthsail.internal.queries.lookup import class_policy, vms_of_service
+from jacinthsail.internal.queries.placement import home_of
 
 
 def decide_route(
@@ -26,6 +31,8 @@
         return Refused(Reason.UNKNOWN_CLASS)
     if now >= head.deadline:
         return Refused(Reason.DEADLINE_EXPIRED)
+    if head.idempotency_key and is_at_most_once(state, head.service, head.call_class):
+        return _route_to_home(state, head)
     if settings.service == head.service and settings.vm not in tried and not is_draining(state):
         return ToOwnTarget()
     candidates = _usable(state, vms_of_service(store, head.service), tried, now)
@@ -35,6 +42,53 @@
     return Refused(Reason.NO_TARGET)
 
 
+def _route_to_home(state: NodeState, head: CallHead) -> Route:
+    """Return the way to the home of the call's key; no other node may run the call.
+
+    Spill-over does not apply, since the home was chosen before. A VM that leaves still answers for
+    the keys that it ran.
+    """
+    match parse_key(head.idempotency_key):
+        case Success(key):
+            home = home_entry(key, state, head.service)
+        case Failure(_):
+            return Refused(Reason.KEY_MALFORMED)
+    if home is None:
+        return Unsettled(_reason_without_home(key))
+    if home.vm == state["settings"].vm:
+        return ToOwnTarget()
+    return ToPeer(home, crosses_region=home.region != state["settings"].region)
+
+
+@singledispatch
+def home_entry(key: object, state: NodeState, service: str) -> VmEntry | None:
+    """Return the published entry of a key's home, or None when this node knows of none."""
+    raise NotImplementedError(f"no home for {type(key).__name__}; register one")
+
+
+@home_entry.register
+def _(key: IssuedKey, state: NodeState, service: str) -> VmEntry | None:
+    for entry in vms_of_service(state["store"], service):
+        if entry.vm == key.home_vm:
+            return entry
+    return None
+
+
+@home_entry.register
+def _(key: TimedKey, state: NodeState, service: str) -> VmEntry | None:
+    return home_of(state["store"], key, service)
+
+
+@singledispatch
+def _reason_without_home(key: object) -> Reason:
+    return Reason.PLACEMENT_UNCONFIRMED
+
+
+@_reason_without_home.register
+def _(key: IssuedKey) -> Reason:
+    return Reason.KEY_HOME_GONE
+
+
 def is_draining(state: NodeState) -> bool:
     """Tell whether this node takes no new work for its own target."""
     return state["admission"]["draining"]
