--- /dev/null
+++ b/tests/fast/test_at_most_once.py
@@ -0,0 +1,122 @@
+"""Guards at-most-once execution over event orders, and shows that its rules are needed."""
+
+import unittest
+
+from hypothesis import HealthCheck, Phase, given, settings
+
+from jacinthsail.internal.model.idempotency import (
+    PLACEMENT_RULES,
+)
+from tests.common.key_world import EVENTS, ROUNDS, run_events
+
+ORDERS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=400,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+
+# Long enough for every node to be beyond the floor of its first confirmation.
+WARM_UP = (
+    ("deliver-all", 0),
+    ("advance", 14_000),
+    ("deliver-all", 0),
+    ("advance", 14_000),
+    ("deliver-all", 0),
+)
+
+# vm-0 alone learns that the others left; a key born 20 s later is brought to every node.
+LATE_LIST = (
+    *WARM_UP,
+    *(("remove", 0), ("remove", 1), ("remove", 2)),
+    ("list", 0),
+    ("advance", 14_000),
+    ("deliver", 0, 0),
+    ("advance", 14_000),
+    ("deliver", 0, 0),
+    ("advance", 14_000),
+    ("deliver", 0, 0),
+    ("new-key", 0),
+    ("call-everywhere", 0, 0),
+)
+
+# The new process learns old lists step by step, so that its floor lies before its start.
+RESTART = (
+    *WARM_UP,
+    ("new-key", 0),
+    ("call-everywhere", 0, 0),
+    *(("restart", 0), ("restart", 1), ("restart", 2)),
+    ("advance", 500),
+    ("deliver-all", 16_000),
+    ("deliver-all", 3_000),
+    ("call-everywhere", 0, 0),
+)
+
+
+class OrderTest(unittest.TestCase):
+    @ORDERS
+    @given(EVENTS)
+    def test_no_key_runs_twice(self, events):
+        """A key that two nodes or two processes run is a duplicated billing claim."""
+        run_events(events)
+
+    @ORDERS
+    @given(EVENTS)
+    def test_no_key_runs_twice_after_warm_up(self, events):
+        """Nodes that accept timed keys from the start reach more states than new ones."""
+        run_events((*WARM_UP, *events))
+
+    def test_timed_keys_run(self):
+        """A world in which every key is refused would satisfy the properties without a use."""
+        world = run_events((*WARM_UP, ("new-key", 0), ("call-everywhere", 0, 0)))
+        self.assertEqual(sum(world.executions.values()), 1)
+
+    def test_late_list(self):
+        """A node that was not told of a removal must not run keys that its successor may run."""
+        world = run_events(LATE_LIST)
+        self.assertEqual(sum(world.executions.values()), 1)
+
+    def test_late_list_without_the_lead_rule(self):
+        """Negative control: without its bound on births a home with an old list runs the key."""
+        with self.assertRaisesRegex(AssertionError, "ran more than once"):
+            run_events(LATE_LIST, PLACEMENT_RULES._replace(horizon_ms=10**12))
+
+    def test_restart(self):
+        """A new process must refuse the keys that its predecessor may have run."""
+        world = run_events(RESTART)
+        self.assertEqual(sum(world.executions.values()), 1)
+
+    def test_restart_without_the_memory_rule(self):
+        """Negative control: without its bound on memory a new process runs the key again."""
+        with self.assertRaisesRegex(AssertionError, "ran more than once"):
+            run_events(RESTART, PLACEMENT_RULES._replace(memory_margin_ms=-(10**12)))
+
+    @settings(ORDERS, max_examples=1_000)
+    @given(ROUNDS)
+    def test_no_key_runs_twice_in_partitions(self, events):
+        """A home on the far side of a partition must not run what the near side may run."""
+        run_events((*WARM_UP, *events))
+
+    def test_partitions_without_the_lead_rule(self):
+        """Negative control: the searched orders must reach what the lead rule prevents."""
+        self.assertTrue(finds_fault(PLACEMENT_RULES._replace(horizon_ms=10**12)))
+
+    def test_partitions_without_the_memory_rule(self):
+        """Negative control: the searched orders must reach what the memory rule prevents."""
+        self.assertTrue(finds_fault(PLACEMENT_RULES._replace(memory_margin_ms=-(10**12))))
+
+
+def finds_fault(rules):
+    """Tell whether the same search as in the property reaches a broken promise by these rules."""
+
+    @settings(ORDERS, max_examples=3_000, phases=[Phase.generate], report_multiple_bugs=False)
+    @given(ROUNDS)
+    def search(events):
+        run_events((*WARM_UP, *events), rules)
+
+    try:
+        search()
+    except AssertionError:
+        return True
+    return False
