--- /dev/null
+++ b/tests/slow/test_keys.py
@@ -0,0 +1,60 @@
+"""Guards at-most-once calls through real processes."""
+
+import unittest
+import urllib.request
+from pathlib import Path
+
+from jacinthsail.testing.mesh import HOST, Mesh, MeshVm
+
+SAMPLES = Path(__file__).resolve().parents[2] / "samples"
+VMS = (
+    MeshVm("drafts-1", "drafts", "manila", "luzon"),
+    MeshVm("billing-1", "billing", "baguio", "luzon"),
+)
+
+
+class KeysTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        sections = {
+            name: (SAMPLES / f"stenonet-{name}.toml").read_text() for name in ("drafts", "billing")
+        }
+        cls.mesh = Mesh(VMS, sections).__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.mesh.__exit__(None, None, None)
+
+    def issue(self, vm):
+        """Ask the node of a VM for a key of the billing service."""
+        url = f"http://{HOST}:{self.mesh.ports[vm].callers}/v1/keys/billing"
+        request = urllib.request.Request(url, data=b"", method="POST")
+        with urllib.request.urlopen(request, timeout=10) as response:
+            return response.headers["Idempotency-Key"]
+
+    def executions(self):
+        """Return how often the billing target ran each key."""
+        url = f"http://{HOST}:{self.mesh.ports['billing-1'].target}/executions"
+        with urllib.request.urlopen(url, timeout=10) as response:
+            return response.read().decode()
+
+    def test_repeated_key_runs_once(self):
+        """A claim that is sent again through another node must not be billed twice."""
+        key = self.issue("drafts-1")
+        headers = {"Idempotency-Key": key}
+        first = self.mesh.call("drafts-1", "billing", "claim", b"page 1", headers)
+        second = self.mesh.call("billing-1", "billing", "claim", b"page 1", headers)
+        self.assertEqual((first.outcome, second.outcome), ("answered", "answered"))
+        self.assertEqual(first.body, second.body)
+        self.assertIn(f'"{key}": 1', self.executions())
+
+    def test_call_without_a_key_runs(self):
+        """The entry node must make the key that the caller did not bring."""
+        reply = self.mesh.call("drafts-1", "billing", "claim", b"page 2")
+        self.assertEqual(reply.outcome, "answered")
+
+    def test_malformed_key_is_not_run(self):
+        """A key without a home cannot have run anywhere."""
+        headers = {"Idempotency-Key": "not-a-key"}
+        reply = self.mesh.call("drafts-1", "billing", "claim", b"page 3", headers)
+        self.assertEqual((reply.outcome, reply.reason), ("not-run", "key-malformed"))
