--- a/src/jacinthsail/internal/model/idempotency.py
+++ b/src/jacinthsail/internal/model/idempotency.py
@@ -107,13 +107,15 @@
 
     ``lead_ms`` is how long before a birth a listing must have been published to count. A home
     accepts births up to ``horizon_ms`` after its confirmation; a horizon above the lead lets a home
-    miss a newer listing. ``clock_error_ms`` bounds the difference between the clocks of two nodes.
+    miss a newer listing. A home runs no key before its own listing was confirmed for
+    ``own_listing_ms``. ``clock_error_ms`` bounds the difference between the clocks of two nodes.
     ``memory_margin_ms`` is twice that: a predecessor may have run a key that was born one clock
     error in its future, and its clock may have been one clock error ahead of its successor's.
     """
 
     lead_ms: int = 15_000
     horizon_ms: int = 15_000
+    own_listing_ms: int = 15_000
     clock_error_ms: int = 2_000
     memory_margin_ms: int = 4_000
 
--- a/src/jacinthsail/internal/queries/placement.py
+++ b/src/jacinthsail/internal/queries/placement.py
@@ -62,7 +62,7 @@
         return False
     departed = placement["departed"].get((home.vm, home.listed_at_ms))
     held_until_ms = confirmed_ms if departed is None else departed.held_until_ms
-    if home.listed_at_ms + rules.lead_ms > held_until_ms:
+    if home.listed_at_ms + rules.own_listing_ms > held_until_ms:
         return False
     return born_at_ms <= held_until_ms + rules.horizon_ms
 
--- a/tests/fast/test_at_most_once.py
+++ b/tests/fast/test_at_most_once.py
@@ -53,6 +53,42 @@
     ("call-everywhere", 0, 0),
 )
 
+# Eight keys, since the homes of one or two could all be elsewhere.
+KEYS = (("new-key", 0), ("call-everywhere", 0, 0)) * 8
+
+# vm-1 starts after the removal of vm-0, which does not know that it was removed.
+START_AFTER_REMOVAL = (
+    *WARM_UP,
+    ("remove", 0),
+    ("restart", 1),
+    ("advance", 500),
+    ("deliver", 1, 0),
+    ("advance", 3_000),
+    ("advance", 3_000),
+    ("deliver", 1, 0),
+    *KEYS,
+)
+
+# vm-0 comes and goes between two confirmations of the others that are less than the lead apart.
+SHORT_LISTING = (
+    *WARM_UP,
+    ("remove", 0),
+    *(("deliver", 1, 0), ("deliver", 2, 0), ("advance", 14_000)) * 2,
+    ("deliver", 1, 0),
+    ("deliver", 2, 0),
+    ("advance", 500),
+    ("list", 0),
+    ("deliver", 0, 0),
+    ("advance", 8_000),
+    ("deliver", 0, 0),
+    ("remove", 0),
+    ("advance", 3_000),
+    ("deliver", 1, 0),
+    ("deliver", 2, 0),
+    ("advance", 8_000),
+    *KEYS,
+)
+
 
 class OrderTest(unittest.TestCase):
     @ORDERS
@@ -92,6 +128,19 @@
         with self.assertRaisesRegex(AssertionError, "ran more than once"):
             run_events(RESTART, PLACEMENT_RULES._replace(memory_margin_ms=-(10**12)))
 
+    def test_start_after_removal(self):
+        """A first confirmation hides VMs that left before it and may still accept keys."""
+        self.assertGreater(sum(run_events(START_AFTER_REMOVAL).executions.values()), 0)
+
+    def test_short_listing(self):
+        """A VM that the others never saw must not run keys that they may run."""
+        self.assertGreater(sum(run_events(SHORT_LISTING).executions.values()), 0)
+
+    def test_short_listing_without_the_listing_rule(self):
+        """Negative control: a VM that runs keys at once after its listing shares them."""
+        with self.assertRaisesRegex(AssertionError, "ran more than once"):
+            run_events(SHORT_LISTING, PLACEMENT_RULES._replace(own_listing_ms=0))
+
     @settings(ORDERS, max_examples=1_000)
     @given(ROUNDS)
     def test_no_key_runs_twice_in_partitions(self, events):
