--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -9,6 +9,7 @@
 import aiohttp
 import mode
 
+from jacinthsail.internal.adapters.clock import ClockService
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
 from jacinthsail.internal.adapters.frontend import Frontend
 from jacinthsail.internal.adapters.gossip import Gossip
@@ -62,6 +63,7 @@
         self.frontend = Frontend(self.node_state, self.dispatcher, metrics)
         health = TargetHealth(self.session, self.settings.target, self.node_state["leaving"])
         operators = OperatorsPort(self.node_state, metrics)
+        await self.add_runtime_dependency(ClockService(self.node_state))
         await self.add_runtime_dependency(self.relay_pool)
         gossip = Gossip(self.node_state, self.relay_pool, Random(f"{incarnation} gossip"))
         platform = PlatformClient(
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -7,6 +7,7 @@
 
 import mode
 
+from jacinthsail.internal.adapters.clock import observe_time
 from jacinthsail.internal.adapters.connection import PeerConnection, PendingCall, ServedCall
 from jacinthsail.internal.commands.membership import spend_link_budget
 from jacinthsail.internal.commands.peers import (
@@ -227,6 +228,15 @@
         spend_link_budget(budget, settings.cross_region_bytes_per_s, len(call.body), now)
         return True
 
+    async def incarnation_of(self, entry: VmEntry) -> str:
+        """Return the incarnation of a peer's node as it says itself, or an empty text."""
+        connection = await self.connection_to(entry)
+        if connection is None:
+            self.suspect(entry.vm)
+            return ""
+        peer = self.node_state["peers"].get(entry.vm)
+        return "" if peer is None else peer["incarnation"]
+
     async def connection_to(self, entry: VmEntry) -> PeerConnection | None:
         """Return an open connection to a peer, or None when it cannot be reached."""
         connection = self.connections.get(entry.vm)
@@ -343,6 +353,7 @@
 
     def receive(self, connection: PeerConnection, message: Message) -> None:
         """Handle one message from a peer."""
+        observe_time(self.node_state)
         peer = self.node_state["peers"].get(connection.peer_vm)
         if peer is not None:
             record_heard(peer, connection.last_received)
--- a/src/jacinthsail/internal/commands/replication.py
+++ b/src/jacinthsail/internal/commands/replication.py
@@ -3,6 +3,11 @@
 from functools import singledispatch
 
 from jacinthsail.internal.commands.admission import apply_service_policy
+from jacinthsail.internal.commands.placement import (
+    drop_confirmation,
+    record_confirmation,
+    record_departures,
+)
 from jacinthsail.internal.model.document import Section
 from jacinthsail.internal.model.membership import VmEntry, VmList
 from jacinthsail.internal.model.replication import (
@@ -21,6 +26,7 @@
 )
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.lookup import service_policy
+from jacinthsail.internal.queries.placement import lists_are_current
 from jacinthsail.internal.queries.replication import (
     contradicts_confirmation,
     platform_tokens,
@@ -63,6 +69,7 @@
 
 @_accept.register
 def _(decision: NewVmList, store: StoreState, now: float) -> None:
+    record_departures(store, decision.item.name, decision.vm_list)
     _record_copy(store, decision.item, now)
     previous = store["vm_lists"].get(decision.item.name)
     store["vm_lists"][decision.item.name] = decision.vm_list
@@ -112,6 +119,7 @@
 def _record_version(store: StoreState, item: Item) -> None:
     if contradicts_confirmation(store, item):
         store["as_of_ms"] = 0
+        drop_confirmation(store)
     store["newest_seen"][item.name] = max(item.version, store["newest_seen"].get(item.name, 0))
     store["revision"] = max(item.version, store["revision"])
 
@@ -171,6 +179,8 @@
         return
     store["as_of_ms"] = as_of_ms
     store["confirmed_at"] = now
+    if lists_are_current(store):
+        record_confirmation(store, as_of_ms)
 
 
 def record_platform_change(platform: PlatformState, revision: int) -> None:
--- a/src/jacinthsail/internal/model/replication.py
+++ b/src/jacinthsail/internal/model/replication.py
@@ -4,6 +4,7 @@
 
 from jacinthsail.errors import ConfigurationError
 from jacinthsail.internal.model.document import Section, ServicePolicy
+from jacinthsail.internal.model.idempotency import PlacementState
 from jacinthsail.internal.model.membership import VmEntry, VmList
 
 
@@ -75,6 +76,7 @@
     vm_entries: dict[str, VmEntry]
     service_vms: dict[str, dict[str, tuple[VmEntry, ...]]]
     membership_changes: int
+    placement: PlacementState
 
 
 class PlatformState(TypedDict):
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -33,6 +33,10 @@
         Reason.DEADLINE_EXPIRED,
         Reason.RETRIES_SPENT,
         Reason.CALLER_GONE,
+        Reason.KEY_REQUIRED,
+        Reason.KEY_MALFORMED,
+        Reason.KEY_FROM_FUTURE,
+        Reason.KEY_REUSED,
     }
 )
 
--- a/tests/fast/test_stop.py
+++ b/tests/fast/test_stop.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from jacinthsail.internal.adapters.node import NodeService
-from jacinthsail.internal.model.calls import Answered
+from jacinthsail.internal.model.calls import Answered, KeyedOutcome
 from jacinthsail.internal.model.settings import Endpoint, Mechanism
 from jacinthsail.testing.platform import PlatformStandIn
 from tests.common.loopback import (
@@ -152,9 +152,9 @@
         async def serve(call):
             await release.wait()
             finished.append(call)
-            return Answered(200, "text/plain", b"", 0)
+            return KeyedOutcome(Answered(200, "text/plain", b"", 0), "")
 
-        node.dispatcher.serve_entry = serve
+        node.dispatcher.serve_caller = serve
         call = asyncio.ensure_future(self.call(node))
         await until(lambda: node.frontend.kept_tasks)
         call.cancel()
