Settle a repeated call as unknown when one of its attempts may have run

Cause: after an attempt that ended unknown, a retry that was refused gave its own outcome to the caller, so callers were told not-run for calls that ran.

Change: queries/outcomes.py settles the last outcome against the earlier attempts; a relayed call has one attempt per hop, and a nested call goes through the same place.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -58,6 +58,7 @@
 )
 from jacinthsail.internal.queries.limits import is_overload, sample_of
 from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy
+from jacinthsail.internal.queries.outcomes import settle
 from jacinthsail.internal.queries.retries import allowance_of, decide_retry
 from jacinthsail.internal.queries.routing import decide_route, vm_of
 
@@ -127,6 +128,7 @@
     async def _serve_with_retries(self, call: Call, policy: ClassPolicy) -> tuple[Outcome, Route]:
         retries = self.node_state["retries"]
         tried: frozenset[str] = frozenset()
+        earlier: tuple[Outcome, ...] = ()
         for attempt in count(1):
             head = call.head._replace(retries_left=allowance_of(retries, call.head.request_id))
             take_allowance(retries, head.request_id)
@@ -141,10 +143,11 @@
             if not decision.again:
                 end_retries(retries, head.request_id, decision)
                 remaining = allowance_of(retries, head.request_id)
-                return outcome._replace(retries_left=remaining), route
+                return settle(outcome._replace(retries_left=remaining), earlier), route
             log_decision(line_of(decision, head, now))
             spend_retry(retries, head, now)
             tried = tried | {vm_of(route, self.node_state)}
+            earlier = (*earlier, outcome)
             await asyncio.sleep(decision.delay_s)
         raise AssertionError("attempts are counted without end")
 
--- a/src/jacinthsail/internal/queries/routing.py
+++ b/src/jacinthsail/internal/queries/routing.py
@@ -39,10 +39,15 @@
         return Refused(Reason.DEADLINE_EXPIRED)
     if head.idempotency_key and needs_key(state, head):
         return _route_to_home(state, head)
-    if settings.service == head.service and settings.vm not in tried and not is_draining(state):
+    serves_own = settings.service == head.service and not is_draining(state)
+    if serves_own and settings.vm not in tried:
         return ToOwnTarget()
-    candidates = _usable(state, vms_of_service(store, head.service), tried, now)
-    groups = _by_distance(state, candidates, policy)
+    groups = _by_distance(state, _usable(state, vms_of_service(store, head.service), now), policy)
+    if serves_own and not groups:
+        # A service with one VM in reach can be tried again nowhere else.
+        return ToOwnTarget()
+    if serves_own or sum(len(group) for group in groups) > 1:
+        groups = _without(groups, tried)
     for candidates_at_distance in groups:
         willing = _willing(state, candidates_at_distance, head, now)
         if not willing:
@@ -104,13 +109,16 @@
     return state["admission"]["draining"]
 
 
-def _usable(
-    state: NodeState, entries: list[VmEntry], tried: frozenset[str], now: float
-) -> list[VmEntry]:
+def _without(groups: list[list[VmEntry]], tried: frozenset[str]) -> list[list[VmEntry]]:
+    untried = [[entry for entry in group if entry.vm not in tried] for group in groups]
+    return [group for group in untried if group]
+
+
+def _usable(state: NodeState, entries: list[VmEntry], now: float) -> list[VmEntry]:
     usable = []
     heeds_leaving = Mechanism.LEAVING not in state["settings"].disabled
     for entry in entries:
-        if entry.vm in tried or entry.vm == state["settings"].vm:
+        if entry.vm == state["settings"].vm:
             continue
         peer = state["peers"].get(entry.vm)
         if heeds_leaving and takes_no_new_work(state, entry):
--- a/tests/fast/test_early_refusal.py
+++ b/tests/fast/test_early_refusal.py
@@ -3,7 +3,12 @@
 import unittest
 from random import Random
 
-from jacinthsail.internal.commands.peers import record_heartbeat, record_hello, record_threshold
+from jacinthsail.internal.commands.peers import (
+    record_failure,
+    record_heartbeat,
+    record_hello,
+    record_threshold,
+)
 from jacinthsail.internal.commands.replication import accept_item
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.document import (
@@ -16,7 +21,7 @@
 from jacinthsail.internal.model.membership import VmEntry, VmList, VmStatus
 from jacinthsail.internal.model.messages import Heartbeat, Hello
 from jacinthsail.internal.model.replication import Item, NewSection, NewVmList
-from jacinthsail.internal.model.routing import Refused, ToPeer
+from jacinthsail.internal.model.routing import Refused, ToOwnTarget, ToPeer
 from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
 from jacinthsail.internal.queries.initial import initial_state
 from jacinthsail.internal.queries.routing import THRESHOLD_VALID_S, decide_route
@@ -60,6 +65,13 @@
     return state
 
 
+def new_billing_section():
+    claim = ClassPolicy("claim", 5, Execution.REPEATABLE, 2000, 2, SpillOver.REGION)
+    service = service_policy_with(FixedLimitPolicy(1))._replace(classes={"claim": claim})
+    section = Section("b", "o", 1, "d", {"billing": service})
+    return NewSection(Item("section/billing", 1, "d", b""), section)
+
+
 def routes(state, head, now):
     return {decide_route(state, head, frozenset(), now, Random(n)) for n in range(ALL_TRIES)}
 
@@ -108,3 +120,15 @@
         state = entry_state()
         route = decide_route(state, call_head(), frozenset(PEERS), 1.0, Random(1))
         self.assertEqual(route, Refused(Reason.NO_TARGET))
+
+    def test_only_vm_in_reach_is_tried_again(self):
+        """A service with one VM would lose every call that a short refusal met."""
+        state = entry_state()
+        record_failure(state["peers"]["drafts-2"], 100.0)
+        for tried in [frozenset({"drafts-1"}), frozenset(PEERS)]:
+            route = decide_route(state, call_head(), tried, 1.0, Random(1))
+            self.assertEqual(route.entry.vm, "drafts-1")
+        own = call_head(service="billing", call_class="claim")
+        accept_item(state["store"], new_billing_section(), 0.0)
+        route = decide_route(state, own, frozenset({"billing-1"}), 1.0, Random(1))
+        self.assertEqual(route, ToOwnTarget())
