Prove complete responses, keys, pauses and planned stops in real processes

Cause: timed keys never ran in short scenarios, since a node accepts births only from 15 s after its first confirmation; callers could neither hang up nor repeat a key through other nodes; VM lists could not lose or regain a VM. A key brought by a caller was told not-run when the call expired, was lost or met a used-up link budget before it reached the key's home.

Change: platform_behind_s, rotates, patience_s, remove and relist; outcomes-true judges keys too. New scenarios timed_keys, home_killed, pause, two_faults and callers_gone.

--- a/src/jacinthsail/internal/queries/idempotency.py
+++ b/src/jacinthsail/internal/queries/idempotency.py
@@ -26,7 +26,7 @@
     Undetermined,
     Waiting,
 )
-from jacinthsail.internal.model.routing import Refused
+from jacinthsail.internal.model.routing import Refused, ToPeer
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.lookup import class_policy, service_policy
@@ -247,8 +247,18 @@
     return KeyUnknown(entry.reason)
 
 
-# The entry node gives these reasons itself, without an answer from the key's home.
-UNPROVEN_REASONS = frozenset({Reason.PEER_UNREACHABLE})
+# A relayed call can end with these reasons before it reaches the home, or at a node that is not the
+# home. A home gives the expired deadline too, but the reason does not tell which node gave it.
+UNPROVEN_REASONS = frozenset(
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.PEER_SILENT,
+        Reason.CONNECTION_LOST,
+        Reason.LINK_BUDGET_SPENT,
+        Reason.DEADLINE_EXPIRED,
+        Reason.NO_TARGET,
+    }
+)
 
 
 @singledispatch
@@ -266,16 +276,21 @@
 def _(outcome: NotRun, route: object) -> Outcome:
     if outcome.reason is Reason.KEY_MALFORMED:
         return outcome
-    if outcome.reason in UNPROVEN_REASONS or _is_refused(route):
+    if _is_unproven(route, outcome.reason):
         return Unknown(outcome.reason, outcome.retries_left)
     return outcome
 
 
 @singledispatch
-def _is_refused(route: object) -> bool:
+def _is_unproven(route: object, reason: Reason) -> bool:
     return False
 
 
-@_is_refused.register
-def _(route: Refused) -> bool:
+@_is_unproven.register
+def _(route: Refused, reason: Reason) -> bool:
     return True
+
+
+@_is_unproven.register
+def _(route: ToPeer, reason: Reason) -> bool:
+    return reason in UNPROVEN_REASONS
--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -110,6 +110,7 @@
         settings_of_vm: Mapping[str, str] | None = None,
         behaviour: Mapping[str, object] | None = None,
         has_links: bool = False,
+        platform_behind_s: float = 0.0,
     ) -> None:
         self.vms = {vm.vm: vm for vm in vms}
         self.sections = sections
@@ -117,6 +118,7 @@
         self.settings_of_vm = settings_of_vm or {}
         self.behaviour = behaviour or {}
         self.has_links = has_links
+        self.platform_behind_s = platform_behind_s
         self.folder = tempfile.TemporaryDirectory(prefix="jacinthsail-mesh-")
         width = len(Ports._fields)
         self.platform_port, *ports = free_ports(1 + width * len(vms))
@@ -126,6 +128,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.listed_at_ms: dict[str, int] = {}
         self.leaving_at_ms: dict[str, int] = {}
+        self.removed: set[str] = set()
 
     def __enter__(self) -> "Mesh":
         try:
@@ -159,7 +162,8 @@
         self.folder.cleanup()
 
     def _start_platform(self) -> None:
-        self._start_standin(PLATFORM, "platform", ["--port", str(self.platform_port)])
+        arguments = [f"--port={self.platform_port}", f"--behind_s={self.platform_behind_s}"]
+        self._start_standin(PLATFORM, "platform", arguments)
         _wait_for(f"http://{HOST}:{self.platform_port}/v1/items")
 
     def _start_standin(self, name: str, role: str, arguments: list[str]) -> None:
@@ -260,21 +264,37 @@
         with urllib.request.urlopen(request):
             pass
 
-    def publish_vm_lists(self, leaving: frozenset[str] = frozenset()) -> None:
+    def publish_vm_lists(
+        self, leaving: frozenset[str] = frozenset(), listed_ago_ms: int = LISTED_AGO_MS
+    ) -> None:
         """Publish the VM list of each failure domain; a VM that leaves goes on leaving."""
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = time.time_ns() // 1_000_000 - int(self.platform_behind_s * 1000)
         for vm in self.vms:
-            self.listed_at_ms.setdefault(vm, now_ms - LISTED_AGO_MS)
+            self.listed_at_ms.setdefault(vm, now_ms - listed_ago_ms)
         for vm in leaving:
             self.leaving_at_ms.setdefault(vm, now_ms)
         domains = sorted({vm.failure_domain for vm in self.vms.values()})
         for domain in domains:
-            entries = [
-                self._list_entry(vm) for vm in self.vms.values() if vm.failure_domain == domain
-            ]
+            entries = []
+            for place in self.vms.values():
+                if place.failure_domain == domain and place.vm not in self.removed:
+                    entries.append(self._list_entry(place))
             body = json.dumps({"failure_domain": domain, "vms": entries})
             self.publish(f"vms/{domain}", body.encode())
 
+    def remove_from_lists(self, vms: Sequence[str]) -> None:
+        """Publish the lists without some VMs."""
+        self.removed.update(vms)
+        self.publish_vm_lists()
+
+    def return_to_lists(self, vms: Sequence[str]) -> None:
+        """Publish some VMs that were removed as newly listed."""
+        for vm in vms:
+            self.removed.discard(vm)
+            self.listed_at_ms.pop(vm, None)
+            self.leaving_at_ms.pop(vm, None)
+        self.publish_vm_lists(listed_ago_ms=0)
+
     def _list_entry(self, vm: MeshVm) -> dict[str, object]:
         ports = self.ports[vm.vm]
         entry: dict[str, object] = {
--- a/src/jacinthsail/testing/platform.py
+++ b/src/jacinthsail/testing/platform.py
@@ -41,7 +41,8 @@
 class PlatformStandIn:
     """Holds published items and answers reads and watches."""
 
-    def __init__(self) -> None:
+    def __init__(self, behind_s: float = 0.0) -> None:
+        self.behind_ms = int(behind_s * 1000)
         self.items: dict[str, Published] = {}
         self.revision = 0
         self.reads = 0
@@ -49,7 +50,7 @@
         self.watches = 0
         self.recent: deque[float] = deque()
         self.mode: PlatformMode = {"down": False, "delay_ms": 0.0, "stale": None}
-        self.history: list[Snapshot] = [Snapshot(0, _now_ms(), {})]
+        self.history: list[Snapshot] = [Snapshot(0, self._now_ms(), {})]
         self.changed = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -118,7 +119,10 @@
         return self.history[revision]
 
     def _current(self) -> Snapshot:
-        return Snapshot(self.revision, _now_ms(), dict(self.items))
+        return Snapshot(self.revision, self._now_ms(), dict(self.items))
+
+    def _now_ms(self) -> int:
+        return time.time_ns() // 1_000_000 - self.behind_ms
 
     def _view(self) -> Snapshot:
         return self.mode["stale"] or self._current()
@@ -183,7 +187,3 @@
             {"revision": view.revision, "as_of_ms": view.as_of_ms, "items": changed},
             headers={"As-Of-Ms": str(view.as_of_ms)},
         )
-
-
-def _now_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/src/jacinthsail/testing/scenario.py
+++ b/src/jacinthsail/testing/scenario.py
@@ -84,6 +84,7 @@
         settings_of_vm=_settings(plan, disabled),
         behaviour=plan.behaviour,
         has_links=plan.links,
+        platform_behind_s=plan.platform_behind_s,
     ) as mesh:
         return asyncio.run(_run_in_mesh(scenario, mesh, report))
 
--- a/src/jacinthsail/testing/scenario_checks.py
+++ b/src/jacinthsail/testing/scenario_checks.py
@@ -34,16 +34,27 @@
 @faults_of.register
 def _(check: model.OutcomesTrue, record: RunRecord) -> list[str]:
     executed = {(run["request_id"], run["service"]) for run in record["executions"]}
+    first_start: dict[str, float] = {}
+    for run in record["executions"]:
+        earliest = first_start.get(run["key"], run["started_at"])
+        first_start[run["key"]] = min(earliest, run["started_at"])
     faults = []
     for told in record["told"]:
         has_run = (told.request_id, told.service) in executed
         if told.outcome == "not-run" and has_run:
             faults.append(f"{told.request_id}: told not-run ({told.reason}) but was executed")
+        if told.outcome == "not-run" and told.key and _has_started(told, first_start):
+            faults.append(f"{told.request_id}: told not-run ({told.reason}) but its key had run")
         if told.outcome == "answered" and not told.key and not has_run:
             faults.append(f"{told.request_id}: told answered but was not executed")
     return faults
 
 
+def _has_started(told: Told, first_start: dict[str, float]) -> bool:
+    """Tell whether the key of a call had run before the call was sent."""
+    return told.key in first_start and first_start[told.key] < told.sent_at
+
+
 @faults_of.register
 def _(check: model.AnswersWhole, record: RunRecord) -> list[str]:
     faults = []
--- a/src/jacinthsail/testing/scenario_clients.py
+++ b/src/jacinthsail/testing/scenario_clients.py
@@ -37,24 +37,26 @@
     for number in range(int(load.rate * load.duration_s)):
         await asyncio.sleep(max(0.0, started_at + number / load.rate - time.monotonic()))
         mix = chooser.choices(mixes, shares)[0]
-        entry = load.entries[number % len(load.entries)]
         plan_id = f"{load.label}-{number}"
-        calls.add(asyncio.create_task(_send_logical_call(load, mix, entry, plan_id, client)))
+        calls.add(asyncio.create_task(_send_logical_call(load, mix, number, plan_id, client)))
     await asyncio.gather(*calls)
 
 
+def _entry_for(load: Load, number: int, repeat: int) -> str:
+    shift = repeat if load.rotates else 0
+    return load.entries[(number + shift) % len(load.entries)]
+
+
 async def _send_logical_call(
-    load: Load, mix: Mix, entry: str, plan_id: str, client: Client
+    load: Load, mix: Mix, number: int, plan_id: str, client: Client
 ) -> None:
-    key = await _key_for(mix, entry, client)
+    key = await _key_for(mix, _entry_for(load, number, 0), client)
     if key is None:
         client.record["told"].append(_told_no_key(load, mix, plan_id))
         return
     copies = []
     for copy in range(mix.repeats):
-        copies.append(
-            _send_with_retries(load, mix, entry, plan_id, f"{plan_id}-{copy}", key, client)
-        )
+        copies.append(_send_with_retries(load, mix, number, copy, plan_id, key, client))
     await asyncio.gather(*copies)
 
 
@@ -104,10 +106,12 @@
 
 
 async def _send_with_retries(
-    load: Load, mix: Mix, entry: str, plan_id: str, request_id: str, key: str, client: Client
+    load: Load, mix: Mix, number: int, copy: int, plan_id: str, key: str, client: Client
 ) -> None:
     for attempt in range(load.client_retries + 1):
-        told = await _send(load, mix, entry, plan_id, f"{request_id}-{attempt}", key, client)
+        entry = _entry_for(load, number, copy + attempt)
+        request_id = f"{plan_id}-{copy}-{attempt}"
+        told = await _send(load, mix, entry, plan_id, request_id, key, client)
         is_last = told.outcome == "answered" or attempt == load.client_retries
         client.record["told"].append(told._replace(is_last=is_last))
         if is_last:
@@ -125,9 +129,10 @@
         headers["Idempotency-Key"] = key
     sent_at = time.monotonic()
     status, outcome, reason, text = 0, NO_ANSWER, "", ""
+    timeout = ClientTimeout(total=load.patience_s) if load.patience_s else CLIENT_TIMEOUT
     try:
         async with client.session.post(
-            url, data=body, headers=headers, timeout=CLIENT_TIMEOUT
+            url, data=body, headers=headers, timeout=timeout
         ) as response:
             text = await response.text()
             status = response.status
--- a/src/jacinthsail/testing/scenario_loader.py
+++ b/src/jacinthsail/testing/scenario_loader.py
@@ -37,6 +37,8 @@
     "start": model.Start,
     "stop": model.Stop,
     "leave": model.Leave,
+    "remove": model.Remove,
+    "relist": model.Relist,
     "platform": model.Platform,
     "edit": model.Edit,
     "pause": model.Pause,
@@ -60,7 +62,7 @@
     "never-reverted": model.NeverReverted,
 }
 _TOP_LEVEL = ("name", "guards", "mesh", "step", "check", "twin")
-_MESH = ("vms", "sections", "target", "disabled", "disabled_on", "links")
+_MESH = ("vms", "sections", "target", "disabled", "disabled_on", "links", "platform_behind_s")
 _TOML_TYPES: dict[object, tuple[type, ...]] = {
     str: (str,),
     int: (int,),
@@ -163,6 +165,7 @@
         disabled=disabled,
         disabled_on=disabled_on,
         links=table.get("links", False),
+        platform_behind_s=table.get("platform_behind_s", 0.0),
     )
 
 
--- a/src/jacinthsail/testing/scenario_model.py
+++ b/src/jacinthsail/testing/scenario_model.py
@@ -25,7 +25,8 @@
     """Send calls at a constant rate; with ``background`` the next steps run meanwhile.
 
     Clients send a call again up to ``client_retries`` times, with the same key and a new request
-    id, after ``retry_after_s``, when its outcome is not an answer.
+    id, after ``retry_after_s``, when its outcome is not an answer. With ``rotates`` each repeat
+    goes through the next entry. Clients hang up after ``patience_s``, unless that is 0.
     """
 
     label: str
@@ -35,6 +36,8 @@
     mix: tuple[Any, ...]
     client_retries: int = 0
     retry_after_s: float = 0.1
+    rotates: bool = False
+    patience_s: float = 0.0
     background: bool = False
 
 
@@ -156,6 +159,20 @@
     label: str = ""
 
 
+class Remove(NamedTuple):
+    """Publish the VM lists without some VMs; their processes are not told."""
+
+    vms: tuple[str, ...]
+    label: str = ""
+
+
+class Relist(NamedTuple):
+    """Publish some VMs that were removed as newly listed."""
+
+    vms: tuple[str, ...]
+    label: str = ""
+
+
 class Platform(NamedTuple):
     """Set the platform's mode: normal, down, slow, or stale by ``back`` revisions."""
 
@@ -210,6 +227,8 @@
     | Start
     | Stop
     | Leave
+    | Remove
+    | Relist
     | Platform
     | Edit
     | Pause
@@ -225,7 +244,10 @@
 
 
 class OutcomesTrue(NamedTuple):
-    """A call told as not run has no execution; one told as answered has one, if it had no key."""
+    """A call told as not run has no execution; one told as answered has one, if it had no key.
+
+    For a call with a key, "not run" also says that no earlier call with the key ran.
+    """
 
 
 class AnswersWhole(NamedTuple):
@@ -336,7 +358,12 @@
 
 
 class MeshPlan(NamedTuple):
-    """The mesh of a scenario."""
+    """The mesh of a scenario.
+
+    A VM that has just started runs only timed keys that are born up to 15 s, by the platform's
+    clock, after its first confirmation. With ``platform_behind_s`` that clock is behind by so much,
+    so that a short scenario reaches such births.
+    """
 
     vms: tuple[MeshVm, ...]
     sections: dict[str, str]
@@ -344,6 +371,7 @@
     disabled: tuple[str, ...]
     disabled_on: dict[str, Any]
     links: bool
+    platform_behind_s: float
 
 
 class Twin(NamedTuple):
--- a/src/jacinthsail/testing/scenario_steps.py
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -142,6 +142,16 @@
     runner.mesh.publish_vm_lists(frozenset(step.vms))
 
 
+@run_step.register
+async def _(step: model.Remove, runner: Runner) -> None:
+    runner.mesh.remove_from_lists(step.vms)
+
+
+@run_step.register
+async def _(step: model.Relist, runner: Runner) -> None:
+    runner.mesh.return_to_lists(step.vms)
+
+
 @run_step.register
 async def _(step: model.Platform, runner: Runner) -> None:
     change = {"mode": step.mode, "delay_ms": step.delay_ms, "back": step.back}
--- a/src/jacinthsail/testing/standin.py
+++ b/src/jacinthsail/testing/standin.py
@@ -21,10 +21,12 @@
 _RELAY_PORT = flags.DEFINE_integer("relay_port", 0, "Port on which the link accepts.")
 _TO_PORT = flags.DEFINE_integer("to_port", 0, "Port to which the link relays.")
 
+_BEHIND_S = flags.DEFINE_float("behind_s", 0.0, "How far the platform's clock is behind, in s.")
+
 
 async def _application() -> web.Application:
     if _ROLE.value == "platform":
-        return PlatformStandIn().application()
+        return PlatformStandIn(_BEHIND_S.value or 0.0).application()
     if _ROLE.value == "link":
         return LinkStandIn(_RELAY_PORT.value or 0, _TO_PORT.value or 0).application()
     behaviour = default_behaviour(_DELAY_MS.value)
--- a/tests/fast/test_idempotency.py
+++ b/tests/fast/test_idempotency.py
@@ -20,8 +20,9 @@
     RunKey,
     TimedKey,
 )
-from jacinthsail.internal.model.routing import Refused, ToOwnTarget
+from jacinthsail.internal.model.routing import Refused, ToOwnTarget, ToPeer
 from jacinthsail.internal.queries.idempotency import (
+    UNPROVEN_REASONS,
     decide_key,
     key_text,
     next_issued_key,
@@ -140,11 +141,12 @@
 
 class GivenKeyTest(unittest.TestCase):
     def test_unreachable_home(self):
-        """An earlier call with the key may have run at the home that cannot be asked."""
-        unreachable = NotRun(Reason.PEER_UNREACHABLE, 1)
-        self.assertEqual(
-            outcome_for_given_key(unreachable, ToOwnTarget()), Unknown(Reason.PEER_UNREACHABLE, 1)
-        )
+        """An earlier call with the key may have run at the home that was not asked."""
+        relayed = ToPeer(None, crosses_region=True)
+        for reason in UNPROVEN_REASONS:
+            with self.subTest(reason=reason):
+                outcome = outcome_for_given_key(NotRun(reason, 1), relayed)
+                self.assertEqual(outcome, Unknown(reason, 1))
         refused = Refused(Reason.NO_TARGET)
         self.assertEqual(
             outcome_for_given_key(NotRun(Reason.NO_TARGET, 1), refused),
@@ -152,6 +154,9 @@
         )
         full = NotRun(Reason.QUEUE_FULL, 1)
         self.assertEqual(outcome_for_given_key(full, ToOwnTarget()), full)
+        self.assertEqual(outcome_for_given_key(full, relayed), full)
+        expired = NotRun(Reason.DEADLINE_EXPIRED, 1)
+        self.assertEqual(outcome_for_given_key(expired, ToOwnTarget()), expired)
 
 
 class PauseTest(unittest.TestCase):
--- a/tests/slow/test_scenarios.py
+++ b/tests/slow/test_scenarios.py
@@ -5,7 +5,20 @@
 from tests.common.scenarios import check_scenario, scenario_named
 
 # A scenario is listed here from the commit on in which it and its twin come out as they must.
-SCENARIOS = ("platform_down",)
+SCENARIOS = (
+    "platform_down",
+    "whole_answers",
+    "not_run_truth",
+    "at_most_once",
+    "timed_keys",
+    "home_killed",
+    "pause",
+    "two_faults",
+    "callers_gone",
+    "planned_stop",
+    "leaving_target",
+    "silent_connection",
+)
 
 
 class ScenariosTest(unittest.TestCase):
