--- a/src/jacinthsail/internal/adapters/tool.py
+++ b/src/jacinthsail/internal/adapters/tool.py
@@ -29,7 +29,7 @@
 )
 from jacinthsail.internal.queries.differences import difference_report, section_differences
 from jacinthsail.internal.queries.documents import parse_section
-from jacinthsail.internal.queries.explain import decisions_about, explain_report
+from jacinthsail.internal.queries.explain import NodeLog, decisions_about, explain_report
 from jacinthsail.internal.queries.fleet import status_report
 
 
@@ -54,14 +54,14 @@
 
 @answer.register
 def _(request: ExplainRequest) -> Report:
-    lines: list[str] = []
+    logs = []
     for path in request.log_paths:
         match read_text(path):
             case Success(text):
-                lines.extend(text.splitlines())
+                logs.append(NodeLog(Path(path).stem, tuple(text.splitlines())))
             case Failure(error):
                 return _failure((error,))
-    return explain_report(request.request_id, decisions_about(request.request_id, lines))
+    return explain_report(request.request_id, decisions_about(request.request_id, logs))
 
 
 @answer.register
--- a/src/jacinthsail/internal/queries/fleet.py
+++ b/src/jacinthsail/internal/queries/fleet.py
@@ -39,12 +39,12 @@
         )
         lines.extend(f"  {note}" for note in notes)
     for name in sorted(newest):
-        lines.append(f"section {name}: newest version in force {newest[name]}")
+        lines.append(f"{name}: newest version in force {newest[name]}")
     return Report(tuple(lines), dict(statuses), EXIT_BEHIND if attention else EXIT_ALIKE)
 
 
 def _notes(status: Mapping[str, Any], newest: Mapping[str, int]) -> list[str]:
-    notes = []
+    notes = [f"not ready: {reason}" for reason in status["not_ready_because"]]
     for name, version in sorted(newest.items()):
         section = status["sections"].get(name)
         if section is None:
--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -15,7 +15,7 @@
 from email.message import Message
 from pathlib import Path
 from types import TracebackType
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
@@ -253,12 +253,13 @@
         """Return the path of a target's record of executions."""
         return Path(self.folder.name) / f"{vm}.executions"
 
-    def publish(self, name: str, body: bytes) -> None:
-        """Publish an item on the platform."""
+    def publish(self, name: str, body: bytes) -> int:
+        """Publish an item on the platform and return its version."""
         url = f"http://{HOST}:{self.platform_port}/v1/items/{name}"
         request = urllib.request.Request(url, data=body, method="PUT")
-        with urllib.request.urlopen(request):
-            pass
+        with urllib.request.urlopen(request) as response:
+            version: int = json.load(response)["version"]
+            return version
 
     def publish_vm_lists(self, leaving: frozenset[str] = frozenset()) -> None:
         """Publish the VM list of each failure domain; a VM that leaves goes on leaving."""
@@ -307,6 +308,23 @@
             f"node {vm} is not ready after {START_TIMEOUT_S} s; it has logged: {self._log_end(vm)}"
         )
 
+    def wait_for_section(self, name: str, version: int) -> None:
+        """Wait until a version of a section is in force on every node."""
+        latest = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < latest:
+            if all(self._section_version(vm, name) == version for vm in self.vms):
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"{name} {version} is not in force after {START_TIMEOUT_S} s")
+
+    def _section_version(self, vm: str, name: str) -> int:
+        status = self.status(vm)
+        if status is None:
+            return 0
+        sections: Any = status["sections"]
+        version: int = sections[name]["version"]
+        return version
+
     def _log_end(self, vm: str) -> str:
         path = self.log_path(vm)
         return path.read_text(encoding="utf-8")[-LOG_END_CHARS:] if path.exists() else ""
--- a/tests/common/loopback.py
+++ b/tests/common/loopback.py
@@ -47,7 +47,7 @@
     """Return the state of a node that holds the sample sections."""
     state = initial_state(settings, f"incarnation-of-{settings.vm}", now, 0)
     for version, name in enumerate(("drafts", "billing"), start=1):
-        body = (SAMPLES / f"stenonet-{name}.toml").read_bytes()
+        body = (SAMPLES / "stenonet" / f"{name}.toml").read_bytes()
         item = Item(f"section/{name}", version, "digest", body)
         accept_item(state["store"], decide_item(state["store"], item), now)
     return state
--- a/tests/fast/test_stop.py
+++ b/tests/fast/test_stop.py
@@ -51,7 +51,7 @@
 
     async def start_node(self, disabled=frozenset()):
         settings = node_settings(target=self.target, platform=self.platform, disabled=disabled)
-        text = (SAMPLES / "stenonet-drafts.toml").read_bytes()
+        text = (SAMPLES / "stenonet" / "drafts.toml").read_bytes()
         url = f"http://{HOST}:{self.platform.port}/v1/items/section/drafts"
         async with self.session.put(url, data=text):
             pass
@@ -139,7 +139,9 @@
 
     async def test_call_that_must_not_run_twice_goes_on(self):
         """Its answer has to be recorded, although the caller does not get it."""
-        text = (SAMPLES / "stenonet-drafts.toml").read_text().replace("repeatable", "at-most-once")
+        text = (
+            (SAMPLES / "stenonet" / "drafts.toml").read_text().replace("repeatable", "at-most-once")
+        )
         finished = []
         release = asyncio.Event()
         node = await self.start_node()
--- a/tests/fast/test_tool.py
+++ b/tests/fast/test_tool.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from jacinthsail.cli import run
-from jacinthsail.internal.queries.explain import decisions_about, explain_report
+from jacinthsail.internal.queries.explain import NodeLog, decisions_about, explain_report
 from jacinthsail.internal.queries.fleet import status_report
 from tests.common.configuration import sample_section
 
@@ -28,6 +28,7 @@
         "service": "billing",
         "draining": False,
         "ready": True,
+        "not_ready_because": [],
         "in_flight": 0,
         "limit": 20,
         "queued": 0,
@@ -106,6 +107,6 @@
         """A log file may end in half a line while the node is writing."""
         line = json.dumps({"request_id": "r1", "time": 2.0, "decision": "route"})
         earlier = json.dumps({"request_id": "r1", "time": 1.0, "decision": "admission"})
-        found = decisions_about("r1", [line, earlier, line[:20]])
+        found = decisions_about("r1", [NodeLog("n", (line, earlier, line[:20]))])
         self.assertEqual([entry["decision"] for entry in found], ["admission", "route"])
         self.assertEqual(explain_report("r2", []).exit_status, 1)
--- a/tests/slow/test_process.py
+++ b/tests/slow/test_process.py
@@ -22,7 +22,8 @@
     @classmethod
     def setUpClass(cls):
         sections = {
-            name: (SAMPLES / f"stenonet-{name}.toml").read_text() for name in ("drafts", "billing")
+            name: (SAMPLES / "stenonet" / f"{name}.toml").read_text()
+            for name in ("drafts", "billing")
         }
         cls.mesh = Mesh(VMS, sections).__enter__()
         for number in range(20):
--- a/tests/slow/test_replication_path.py
+++ b/tests/slow/test_replication_path.py
@@ -10,7 +10,7 @@
 from jacinthsail.testing.mesh import PLATFORM, Mesh, MeshVm
 
 SAMPLES = Path(__file__).resolve().parents[2] / "samples"
-DRAFTS = (SAMPLES / "stenonet-drafts.toml").read_text()
+DRAFTS = (SAMPLES / "stenonet" / "drafts.toml").read_text()
 NEW_VM = "drafts-3"
 VMS = (
     MeshVm("drafts-1", "drafts", "manila", "luzon"),
