Give calls that come from the target without their context no retries

Cause: a target that drops its context headers sends calls that look like those of callers, so each got an allowance of its own and levels multiplied attempts. Ruled out: calls with a depth but without a held allowance; they already had no retries.

Change: a call from the address of target.host with depth 0 gets no retries. Stand-ins call from an address of their own. New scenario no_context.

--- a/src/jacinthsail/internal/adapters/frontend.py
+++ b/src/jacinthsail/internal/adapters/frontend.py
@@ -19,6 +19,7 @@
 from jacinthsail.internal.queries.idempotency import key_request_head, key_text
 from jacinthsail.internal.queries.lookup import class_policy, is_at_most_once
 from jacinthsail.internal.queries.rank import rank_of
+from jacinthsail.internal.queries.retries import granted_retries
 from jacinthsail.internal.queries.routing import is_draining
 
 # Larger bodies would hold one connection between nodes for too long.
@@ -173,6 +174,7 @@
         return Failure(MalformedMessage("caller", f"header is not a number: {error}"))
     if not 0 <= depth <= MAX_DEPTH or rank < 0 or retries_left < 0:
         return Failure(MalformedMessage("caller", "header is out of range"))
+    from_target = request.remote == state["settings"].target.host
     head = CallHead(
         request_id=request_id,
         service=service,
@@ -181,7 +183,7 @@
         rank=rank,
         depth=depth,
         deadline=now + min(deadline_ms, longest_ms) / 1000,
-        retries_left=min(retries_left, max_retries),
+        retries_left=granted_retries(min(retries_left, max_retries), depth, from_target),
         idempotency_key=given.get(headers.IDEMPOTENCY_KEY, ""),
     )
     content_type = given.get(headers.CONTENT_TYPE, "application/octet-stream")
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -133,6 +133,15 @@
     return budget_of(retries, head, now).tokens >= 1
 
 
+def granted_retries(asked: int, depth: int, from_target: bool) -> int:
+    """Return the retries of a call on arrival, where ``depth`` is 0 if it came without context.
+
+    A call of the own target is nested in another one. Without its context it would start with an
+    allowance of its own, and each level of such calls would multiply the attempts.
+    """
+    return 0 if from_target and depth == 0 else asked
+
+
 def allowance_of(retries: RetryState, request_id: str) -> int:
     """Return how many retries the calls of a request may still use from this VM."""
     return retries["allowances"].get(request_id, Allowance(0, 0)).retries
--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -18,6 +18,9 @@
 from typing import Any, NamedTuple
 
 HOST = "127.0.0.1"
+
+# Targets have an address of their own, by which their nodes tell their calls from those of callers.
+TARGET_HOST = "127.0.0.2"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 
@@ -237,7 +240,8 @@
             "platform": ports.platform_link if self.has_links else self.platform_port,
         }
         for name, port in endpoints.items():
-            lines += [f"[{name}]", f'host = "{HOST}"', f"port = {port}"]
+            host = TARGET_HOST if name == "target" else HOST
+            lines += [f"[{name}]", f'host = "{host}"', f"port = {port}"]
         own_settings = self.settings_of_vm.get(vm, "")
         return "\n".join([*lines, self.node_settings, own_settings, ""])
 
--- a/src/jacinthsail/testing/scenario_checks.py
+++ b/src/jacinthsail/testing/scenario_checks.py
@@ -117,7 +117,9 @@
     plans = {told.plan_id for told in record["told"] if told.label == check.label}
     runs = 0
     for run in record["executions"]:
-        if run["service"] == check.service and run["request_id"].startswith(f"{check.label}-"):
+        if run["service"] != check.service:
+            continue
+        if check.any_request or run["request_id"].startswith(f"{check.label}-"):
             runs += 1
     return runs / max(1, len(plans))
 
--- a/src/jacinthsail/testing/scenario_model.py
+++ b/src/jacinthsail/testing/scenario_model.py
@@ -275,11 +275,15 @@
 
 
 class ExecutionsRatio(NamedTuple):
-    """Executions of a service per request of a load stay at most at this ratio."""
+    """Executions of a service per request of a load stay at most at this ratio.
+
+    With ``any_request`` executions count whatever request id they carry.
+    """
 
     label: str
     service: str
     at_most: float
+    any_request: bool = False
 
 
 class WastedShare(NamedTuple):
--- a/src/jacinthsail/testing/standin.py
+++ b/src/jacinthsail/testing/standin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from jacinthsail.testing.link import LinkStandIn
+from jacinthsail.testing.mesh import HOST, TARGET_HOST
 from jacinthsail.testing.platform import PlatformStandIn
 from jacinthsail.testing.target import TargetStandIn
 from jacinthsail.testing.target_model import default_behaviour
@@ -32,14 +33,14 @@
     behaviour = default_behaviour(_DELAY_MS.value)
     behaviour.update(json.loads(_BEHAVIOUR.value))
     record = Path(_RECORD.value) if _RECORD.value else None
-    return TargetStandIn(_NAME.value, _NODE_URL.value, behaviour, record).application()
+    return TargetStandIn(_NAME.value, _NODE_URL.value, behaviour, record, TARGET_HOST).application()
 
 
 def run(_argv: list[str]) -> None:
     """Run the stand-in until it is told to stop."""
     web.run_app(
         _application(),
-        host="127.0.0.1",
+        host=[HOST, TARGET_HOST],
         port=_PORT.value,
         print=None,
         access_log=None,
--- a/src/jacinthsail/testing/target.py
+++ b/src/jacinthsail/testing/target.py
@@ -31,10 +31,16 @@
     """Answers each call with the service, the class and the body that it was given."""
 
     def __init__(
-        self, name: str, node_url: str, behaviour: Behaviour, record: Path | None = None
+        self,
+        name: str,
+        node_url: str,
+        behaviour: Behaviour,
+        record: Path | None = None,
+        host: str = "127.0.0.1",
     ) -> None:
         self.name = name
         self.node_url = node_url
+        self.host = host
         self.behaviour = behaviour
         self.record = record
         self.executions: list[Execution] = []
@@ -218,7 +224,8 @@
         self, path: str, body: str, request: web.Request
     ) -> tuple[int, str]:
         if self.session is None:
-            self.session = ClientSession(connector=TCPConnector(limit=0))
+            connector = TCPConnector(limit=0, local_addr=(self.host, 0))
+            self.session = ClientSession(connector=connector)
         context = {}
         for name in CONTEXT_HEADERS:
             if self.behaviour["passes_context"] and name in request.headers:
--- a/tests/slow/test_scenarios.py
+++ b/tests/slow/test_scenarios.py
@@ -15,6 +15,7 @@
     "pause",
     "two_faults",
     "callers_gone",
+    "no_context",
     "planned_stop",
     "leaving_target",
     "silent_connection",
