Compare a new node's copies with its peers before it serves

Cause: a node that started empty was ready as soon as the platform had answered once. A stale platform gives it versions older than those of its peers, so it served an older section for a moment and then moved on.

Ruled out: counting the first peer's answer as enough (that peer may have started at the same time and know no more), and waiting for an equal digest (peers differ for long while a broken section is published; heartbeats come only every 2 s).

Change: the reply to a complete offer is now always sent and marked as such. A new node waits until every gossip peer that can be reached has answered, one at least has, and the copies they named are held; at most 5 s after peers were first chosen, so that a VM with only a platform starts. The wait holds back readiness, callers and relayed calls. After a pause of the process the platform is read at once, since a watch or a heartbeat would confirm only seconds later.

Two expectations of a node without peers now include the platform's confirmation: a partial VM list shows no peers either, and such a node must not call itself ready.

--- a/src/jacinthsail/internal/adapters/clock.py
+++ b/src/jacinthsail/internal/adapters/clock.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 from functools import singledispatch
 from typing import Any
 
@@ -36,17 +37,28 @@
 class ClockService(mode.Service):
     """Observes the clocks when no event does, so that an idle process does not look paused."""
 
-    def __init__(self, state: NodeState, **kwargs: Any) -> None:
+    def __init__(self, state: NodeState, on_pause: Callable[[], None], **kwargs: Any) -> None:
         super().__init__(**kwargs)
         self.node_state = state
+        self.on_pause = on_pause
+        self.pauses_seen = state["clock"]["pauses"]
 
     @mode.Service.task
     async def tick(self) -> None:
         """Observe the clocks until the node stops."""
         while not self.should_stop:
             observe_time(self.node_state)
+            self._tell_of_pause()
             await self.sleep(TICK_S)
 
+    def _tell_of_pause(self) -> None:
+        # An event may have observed the pause before this service did.
+        pauses = self.node_state["clock"]["pauses"]
+        if pauses == self.pauses_seen:
+            return
+        self.pauses_seen = pauses
+        self.on_pause()
+
 
 @singledispatch
 def _log_pause(decision: object) -> None:
--- a/src/jacinthsail/internal/adapters/gossip.py
+++ b/src/jacinthsail/internal/adapters/gossip.py
@@ -12,11 +12,13 @@
     choose_gossip_peers,
     confirm_versions,
     install_item,
+    record_answer,
     record_complete_offer,
     record_digest_match,
     record_digest_mismatch,
     record_gossip_attempt,
     record_offer_sent,
+    settle_start,
 )
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
 from jacinthsail.internal.model.messages import Ask, Heartbeat, ItemCopy, Offer
@@ -30,6 +32,7 @@
     decide_counter_offer,
     decide_item,
     decide_on_digest,
+    has_compared_with_peers,
     is_news,
     offer_of_item,
     retry_delay,
@@ -59,6 +62,7 @@
         while not self.should_stop:
             self._choose()
             await asyncio.gather(*(self._open(entry) for entry in self._due()))
+            settle_when_compared(self.node_state)
             await self.sleep(UPKEEP_S)
 
     def _choose(self) -> None:
@@ -71,7 +75,8 @@
         if not store["vm_lists"]:
             self.chosen = [seed_entry(seed) for seed in settings.seeds]
         names = frozenset(entry.vm for entry in self.chosen)
-        choose_gossip_peers(self.node_state["gossip"], names)
+        now = asyncio.get_running_loop().time()
+        choose_gossip_peers(self.node_state["gossip"], names, bool(store["vm_lists"]), now)
         # A connection to a former gossip peer closes once no call uses it.
         for vm, connection in self.pool.connections.items():
             connection.keeps_open = vm in names
@@ -112,6 +117,14 @@
     return VmEntry(name, seed.host, 0, seed.port, "", "", "", VmStatus.LIVE, 0)
 
 
+def settle_when_compared(state: NodeState) -> None:
+    """Let a node that has just started serve once it has compared its copies with its peers."""
+    if state["gossip"]["start_settled"] or state["gossip"]["chosen_at"] is None:
+        return
+    if has_compared_with_peers(state):
+        settle_start(state["gossip"])
+
+
 def offer_all(pool: RelayPool, connection: PeerConnection, vm: str) -> None:
     """Offer every version held here."""
     state = pool.node_state
@@ -156,12 +169,13 @@
     ask = decide_ask(state["store"], message, state["settings"].disabled)
     if ask.names:
         connection.send(ask)
+    if message.complete or message.is_answer:
+        record_answer(state["gossip"], connection.peer_vm, message.versions)
+        settle_when_compared(state)
     if not message.complete:
         return
     record_complete_offer(state["gossip"])
-    counter_offer = decide_counter_offer(state["store"], message)
-    if counter_offer.versions:
-        connection.send(counter_offer)
+    connection.send(decide_counter_offer(state["store"], message))
 
 
 @handle_message.register
@@ -178,5 +192,6 @@
     state = pool.node_state
     decision = decide_item(state["store"], message.item, state["settings"].disabled)
     install_item(state, decision, asyncio.get_running_loop().time())
+    settle_when_compared(state)
     if is_news(decision):
         spread_item(pool, message.item, connection)
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -55,6 +55,7 @@
     offer :group {
       versions @8 :List(ItemVersion);
       complete @9 :Bool;
+      isAnswer @21 :Bool;
     }
     ask :group {
       names @10 :List(Text);
--- a/src/jacinthsail/internal/adapters/node.py
+++ b/src/jacinthsail/internal/adapters/node.py
@@ -63,12 +63,12 @@
         self.frontend = Frontend(self.node_state, self.dispatcher, metrics)
         health = TargetHealth(self.session, self.settings.target, self.node_state["leaving"])
         operators = OperatorsPort(self.node_state, metrics)
-        await self.add_runtime_dependency(ClockService(self.node_state))
         await self.add_runtime_dependency(self.relay_pool)
         gossip = Gossip(self.node_state, self.relay_pool, Random(f"{incarnation} gossip"))
         platform = PlatformClient(
             self.node_state, self.session, Random(f"{incarnation} platform"), gossip.spread
         )
+        await self.add_runtime_dependency(ClockService(self.node_state, platform.read_at_once))
         await self.add_runtime_dependency(gossip)
         await self.add_runtime_dependency(platform)
         await self.add_runtime_dependency(operators)
--- a/src/jacinthsail/internal/adapters/platform.py
+++ b/src/jacinthsail/internal/adapters/platform.py
@@ -15,6 +15,7 @@
     install_item,
     record_platform_change,
     record_platform_failure,
+    record_read_after_pause,
     record_stale_platform,
 )
 from jacinthsail.internal.model.replication import (
@@ -65,6 +66,7 @@
         self.session = session
         self.random = random
         self.on_news = on_news
+        self.current: asyncio.Task[None] | None = None
         platform = state["settings"].platform
         self.base_url = f"http://{platform.host}:{platform.port}/v1"
 
@@ -79,11 +81,24 @@
                 confirmed_at = self.node_state["store"]["confirmed_at"]
                 silence_s = draw_silence(self.random)
             action = decide_platform_action(self.node_state, silence_s, loop.time())
-            await perform(action, self)
+            self.current = asyncio.ensure_future(perform(action, self))
+            try:
+                # The wait leaves alone an action that was cancelled by a restart.
+                await asyncio.wait([self.current])
+            finally:
+                self.current.cancel()
+            if not self.current.cancelled():
+                self.current.result()
+
+    def read_at_once(self) -> None:
+        """End the present watch, read or wait, so that the next action is decided at once."""
+        if self.current is not None:
+            self.current.cancel()
 
     async def read_changes(self, wait_s: float) -> None:
         """Read what changed, waiting up to ``wait_s`` for it; delays after a failure."""
         platform = self.node_state["platform"]
+        record_read_after_pause(platform, self.node_state["clock"]["pauses"])
         try:
             change = await self._changes(wait_s, platform["revision"])
             if is_stale(self.node_state["store"], platform, change):
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -92,6 +92,7 @@
 def _(message: Offer, builder: Any) -> None:
     offer = builder.init("offer")
     offer.complete = message.complete
+    offer.isAnswer = message.is_answer
     versions = offer.init("versions", len(message.versions))
     for index, version in enumerate(message.versions):
         _fill_version(version, versions[index])
@@ -195,7 +196,7 @@
 
 def _offer(reader: Any) -> Message:
     versions = tuple(_item_version(version) for version in reader.offer.versions)
-    return Offer(versions, reader.offer.complete)
+    return Offer(versions, reader.offer.complete, reader.offer.isAnswer)
 
 
 def _ask(reader: Any) -> Message:
--- a/src/jacinthsail/internal/commands/replication.py
+++ b/src/jacinthsail/internal/commands/replication.py
@@ -14,6 +14,7 @@
     GossipState,
     Item,
     ItemDecision,
+    ItemVersion,
     NewSection,
     NewVmList,
     PlatformState,
@@ -208,6 +209,11 @@
     platform["reads"] += 1
 
 
+def record_read_after_pause(platform: PlatformState, pauses: int) -> None:
+    """Remember that the platform is read after this many pauses."""
+    platform["pauses_answered"] = pauses
+
+
 def record_digest_match(gossip: GossipState, vm: str) -> None:
     """Remember that a peer holds the same versions."""
     gossip["mismatch_since"].pop(vm, None)
@@ -228,6 +234,22 @@
     gossip["complete_offers_heard"] += 1
 
 
+def record_answer(gossip: GossipState, vm: str, versions: tuple[ItemVersion, ...]) -> None:
+    """Remember what a peer has named in answer to the start of this node."""
+    if gossip["start_settled"]:
+        return
+    gossip["answers"][vm] = versions
+
+
+def settle_start(gossip: GossipState) -> None:
+    """Remember that the copies were compared with peers, and drop what was kept for it.
+
+    Peers that are chosen later must not make a node unready again.
+    """
+    gossip["start_settled"] = True
+    gossip["answers"].clear()
+
+
 def record_gossip_attempt(gossip: GossipState, vm: str, next_attempt: float, opened: bool) -> None:
     """Remember the outcome of an attempt to reach a gossip peer, and when the next one is due."""
     gossip["next_attempt"][vm] = next_attempt
@@ -237,9 +259,16 @@
     gossip["failures"][vm] = gossip["failures"].get(vm, 0) + 1
 
 
-def choose_gossip_peers(gossip: GossipState, chosen: frozenset[str]) -> None:
-    """Set the gossip peers and drop what is remembered of others, to bound the state."""
+def choose_gossip_peers(
+    gossip: GossipState, chosen: frozenset[str], has_list: bool, now: float
+) -> None:
+    """Set the gossip peers and drop what is remembered of others, to bound the state.
+
+    Without a VM list the chosen ones are seeds.
+    """
     gossip["chosen"] = chosen
+    if has_list and gossip["chosen_at"] is None:
+        gossip["chosen_at"] = now
     for memory in (
         gossip["next_attempt"],
         gossip["failures"],
--- a/src/jacinthsail/internal/model/messages.py
+++ b/src/jacinthsail/internal/model/messages.py
@@ -29,10 +29,15 @@
 
 
 class Offer(NamedTuple):
-    """The versions that the sender holds; ``complete`` when it lists all of them."""
+    """The versions that the sender holds; ``complete`` when it lists all of them.
+
+    ``is_answer`` marks the reply to a complete offer: what the sender of that offer lacks, possibly
+    nothing.
+    """
 
     versions: tuple[ItemVersion, ...]
     complete: bool
+    is_answer: bool = False
 
 
 class Ask(NamedTuple):
--- a/src/jacinthsail/internal/model/replication.py
+++ b/src/jacinthsail/internal/model/replication.py
@@ -82,7 +82,8 @@
 class PlatformState(TypedDict):
     """What a node knows of its reads from the platform; times are monotonic seconds.
 
-    ``revision`` is the newest one of which every change was read here.
+    ``revision`` is the newest one of which every change was read here. ``pauses_answered`` counts
+    the pauses of this process after which the platform has been read.
     """
 
     revision: int
@@ -91,13 +92,17 @@
     failures: int
     tokens: float
     tokens_at: float
+    pauses_answered: int
 
 
 class GossipState(TypedDict):
     """What a node remembers of its exchanges with gossip peers, by VM.
 
     ``chosen`` names the gossip peers; the exchange of copies goes to them only, not to every peer
-    to which calls are relayed.
+    to which calls are relayed. ``chosen_at`` is when they were first chosen from a VM list.
+
+    Until ``start_settled``, ``answers`` holds the versions that each peer has named in answer to
+    this node's start.
     """
 
     chosen: frozenset[str]
@@ -106,6 +111,9 @@
     offered_at: dict[str, float]
     mismatch_since: dict[str, float]
     complete_offers_heard: int
+    chosen_at: float | None
+    answers: dict[str, tuple[ItemVersion, ...]]
+    start_settled: bool
 
 
 class NewSection(NamedTuple):
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -35,6 +35,7 @@
             "failures": 0,
             "tokens": PLATFORM_READ_BURST,
             "tokens_at": now,
+            "pauses_answered": 0,
         },
         gossip={
             "chosen": frozenset(),
@@ -43,6 +44,9 @@
             "offered_at": {},
             "mismatch_since": {},
             "complete_offers_heard": 0,
+            "chosen_at": None,
+            "answers": {},
+            "start_settled": False,
         },
         control={
             distance: {"control_bytes_sent": 0, "control_bytes_received": 0}
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -64,6 +64,10 @@
 LAST_GOOD_WAIT_S = 5.0
 
 
+# A new VM that knows gossip peers waits this long to compare its copies with theirs, since the
+# platform may have answered from an older state. A VM that is cut off from them serves after that.
+START_WAIT_S = 5.0
+
 # The digest of a store without any item.
 EMPTY_DIGEST = xxhash.xxh3_64_intdigest(b"")
 
@@ -210,7 +214,7 @@
         if version.version < newest.get(version.name, 0) and not _is_last_good(offer, version):
             continue
         lacking.append(version)
-    return Offer(tuple(lacking), complete=False)
+    return Offer(tuple(lacking), complete=False, is_answer=True)
 
 
 def _is_last_good(offer: Offer, version: ItemVersion) -> bool:
@@ -283,6 +287,8 @@
     ``draw_silence``.
     """
     store = state["store"]
+    if is_read_due_after_pause(state, now):
+        return ReadPlatform()
     if Mechanism.PEER_LEARNING in state["settings"].disabled:
         return WatchPlatform()
     if is_watcher(store, state["settings"]):
@@ -298,6 +304,18 @@
     return ReadPlatform()
 
 
+def is_read_due_after_pause(state: NodeState, now: float) -> bool:
+    """Tell whether the platform is to be read at once because this process stood still.
+
+    A watch would answer only after its time limit, and a node that waits for its peers would accept
+    no timed key meanwhile.
+    """
+    platform = state["platform"]
+    if platform["pauses_answered"] == state["clock"]["pauses"]:
+        return False
+    return platform_tokens(platform, now) >= 1.0
+
+
 def draw_silence(random: Random) -> float:
     """Return how long to wait for a confirmation from peers before reading the platform."""
     return SILENCE_S + random.uniform(0.0, SILENCE_JITTER_S)
@@ -323,6 +341,8 @@
         reasons.append("no VM list; check that the platform or a peer or seed can be reached")
     if not store["sections"]:
         reasons.append("no section in force; check that the platform or a peer can be reached")
+    if store["vm_lists"] and awaits_peers(state, now):
+        reasons.append("copies not yet compared with gossip peers; wait, or check the relay ports")
     if not _may_wait_for_last_good(state, now):
         return reasons
     for name in store["rejected"]:
@@ -331,6 +351,49 @@
     return reasons
 
 
+def awaits_peers(state: NodeState, now: float) -> bool:
+    """Tell whether this node has just started and has yet to compare its copies with its peers."""
+    gossip = state["gossip"]
+    if gossip["start_settled"] or Mechanism.PEER_LEARNING in state["settings"].disabled:
+        return False
+    since = gossip["chosen_at"]
+    if since is None:
+        since = state["clock"]["started_at"]
+    if now - since >= START_WAIT_S:
+        return False
+    return not has_compared_with_peers(state)
+
+
+def has_compared_with_peers(state: NodeState) -> bool:
+    """Tell whether every gossip peer that can be reached has answered, and one at least has.
+
+    One answer alone may come from a peer that has just started too and knows no more than this
+    node. Without any peer the answer of the platform has to do.
+    """
+    gossip = state["gossip"]
+    if not state["store"]["vm_lists"]:
+        return state["store"]["as_of_ms"] > 0
+    if gossip["chosen_at"] is None:
+        return False
+    if not gossip["chosen"]:
+        return state["store"]["as_of_ms"] > 0
+    has_answer = False
+    for versions in gossip["answers"].values():
+        has_answer = has_answer or _holds_all(state["store"], versions)
+    if not has_answer:
+        return False
+    for vm in gossip["chosen"]:
+        if gossip["failures"].get(vm, 0) > 0:
+            continue
+        if vm not in gossip["answers"] or not _holds_all(state["store"], gossip["answers"][vm]):
+            return False
+    return True
+
+
+def _holds_all(store: StoreState, versions: tuple[ItemVersion, ...]) -> bool:
+    return not any(_lacks(store, version, frozenset()) for version in versions)
+
+
 def _may_wait_for_last_good(state: NodeState, now: float) -> bool:
     if state["gossip"]["complete_offers_heard"] > 0:
         return False
--- a/tests/common/loopback.py
+++ b/tests/common/loopback.py
@@ -6,7 +6,7 @@
 
 from jacinthsail.internal.adapters.relay import RelayPool
 from jacinthsail.internal.adapters.wire import encode_frame
-from jacinthsail.internal.commands.replication import accept_item
+from jacinthsail.internal.commands.replication import accept_item, settle_start
 from jacinthsail.internal.model.calls import Call
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
 from jacinthsail.internal.model.messages import Hello
@@ -44,8 +44,9 @@
 
 
 def state_with_samples(settings, now):
-    """Return the state of a node that holds the sample sections."""
+    """Return the state of a node that holds the sample sections and has started long ago."""
     state = initial_state(settings, f"incarnation-of-{settings.vm}", now, 0)
+    settle_start(state["gossip"])
     for version, name in enumerate(("drafts", "billing"), start=1):
         body = (SAMPLES / f"stenonet-{name}.toml").read_bytes()
         item = Item(f"section/{name}", version, "digest", body)
--- a/tests/fast/test_replication.py
+++ b/tests/fast/test_replication.py
@@ -8,9 +8,14 @@
 
 from jacinthsail.errors import Conflict
 from jacinthsail.internal.commands.replication import (
+    choose_gossip_peers,
     confirm_versions,
     install_item,
+    record_answer,
+    record_gossip_attempt,
     record_platform_change,
+    record_read_after_pause,
+    settle_start,
 )
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.messages import Heartbeat, Offer
@@ -19,6 +24,7 @@
     DigestMismatch,
     ItemVersion,
     PlatformChange,
+    ReadPlatform,
 )
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.initial import initial_store
@@ -31,9 +37,12 @@
 )
 from jacinthsail.internal.queries.replication import (
     OFFER_ALL_INTERVAL_S,
+    START_WAIT_S,
+    awaits_peers,
     decide_ask,
     decide_item,
     decide_on_digest,
+    decide_platform_action,
     heartbeat_of,
     is_caught_up,
     is_stale,
@@ -56,6 +65,18 @@
 # The same examples in each run, so that a verdict does not depend on chance.
 STEADY = settings(derandomize=True, deadline=None, max_examples=150)
 
+
+def new_vm_with_peers(*peers):
+    """Return a node that has read the platform and has just chosen its gossip peers."""
+    state = node()
+    vms = [(vm, "drafts") for vm in ("vm-0", *peers)]
+    take(state["store"], section_item("a", 1))
+    take(state["store"], vm_list_item("domain-0", 1, vms))
+    confirm_versions(state["store"], 1000, 0.0)
+    choose_gossip_peers(state["gossip"], frozenset(peers), True, 0.0)
+    return state
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda children: st.lists(children) | st.dictionaries(st.text(), children),
@@ -400,8 +421,47 @@
         self.assertFalse(node_status(state, 0.0)["ready"])
         take(state["store"], section_item("a", 1))
         take(state["store"], vm_list_item("domain-0", 2, [("vm-0", "drafts")]))
+        choose_gossip_peers(state["gossip"], frozenset(), True, 0.0)
+        self.assertEqual(len(reasons_not_ready(state, 0.0)), 1)
+        confirm_versions(state["store"], 1000, 0.0)
         self.assertEqual(reasons_not_ready(state, 0.0), [])
 
+    def test_new_vm_waits_for_its_peers_to_answer(self):
+        """A stale platform alone would put a new VM back to versions older than its peers'."""
+        state = new_vm_with_peers("vm-1", "vm-2")
+        record_answer(state["gossip"], "vm-1", (ItemVersion("section/a", 2, ""),))
+        self.assertTrue(awaits_peers(state, 1.0), "the copy that the peer named has not arrived")
+        take(state["store"], section_item("a", 2))
+        self.assertTrue(awaits_peers(state, 1.0), "the other peer may know more")
+        record_answer(state["gossip"], "vm-2", ())
+        self.assertFalse(awaits_peers(state, 1.0))
+
+    def test_new_vm_does_not_wait_for_peers_out_of_reach(self):
+        """A VM cut off from its peers must serve in the end; one peer that answers is enough."""
+        state = new_vm_with_peers("vm-1", "vm-2")
+        record_gossip_attempt(state["gossip"], "vm-1", 2.0, opened=False)
+        record_answer(state["gossip"], "vm-2", ())
+        self.assertFalse(awaits_peers(state, 1.0))
+        cut_off = new_vm_with_peers("vm-1")
+        record_gossip_attempt(cut_off["gossip"], "vm-1", 2.0, opened=False)
+        self.assertTrue(awaits_peers(cut_off, START_WAIT_S - 0.1))
+        self.assertFalse(awaits_peers(cut_off, START_WAIT_S))
+
+    def test_node_that_has_settled_does_not_wait_for_new_peers(self):
+        """A change of the VM list must not make a node that serves refuse calls."""
+        state = new_vm_with_peers("vm-1")
+        settle_start(state["gossip"])
+        choose_gossip_peers(state["gossip"], frozenset(["vm-3"]), True, 1.0)
+        self.assertFalse(awaits_peers(state, 1.0))
+
+    def test_platform_is_read_at_once_after_a_pause(self):
+        """A node that wakes would refuse timed keys until a watch or a heartbeat confirms it."""
+        state = new_vm_with_peers("vm-1")
+        state["clock"]["pauses"] = 1
+        self.assertIsInstance(decide_platform_action(state, 8.0, 1.0), ReadPlatform)
+        record_read_after_pause(state["platform"], 1)
+        self.assertNotIsInstance(decide_platform_action(state, 8.0, 1.0), ReadPlatform)
+
     def test_class_is_not_called_unknown_before_the_first_confirmation(self):
         """A caller told that a class does not exist gives up for good."""
         store = initial_store(0.0)
@@ -416,5 +476,7 @@
         take(state["store"], section_item("a", 1))
         take(state["store"], vm_list_item("domain-0", 2, [("vm-0", "drafts")]))
         take(state["store"], broken_item("b", 3))
+        choose_gossip_peers(state["gossip"], frozenset(), True, 0.0)
+        confirm_versions(state["store"], 1000, 0.0)
         self.assertEqual(len(reasons_not_ready(state, 1.0)), 1)
         self.assertEqual(reasons_not_ready(state, 6.0), [])
