Measure control at the target size; read VM lists first on a new VM

It read them in the platform's order and also when a peer had brought the copy meanwhile.

Change: VM lists are read first, so that gossip starts, and an item that has arrived meanwhile is not read. measure_replication can hold the document and the VM lists of the target size and shows the cost of one change; measure_control measures single steps and frame sizes.

--- a/src/jacinthsail/internal/adapters/platform.py
+++ b/src/jacinthsail/internal/adapters/platform.py
@@ -36,6 +36,7 @@
     is_news,
     is_stale,
     names_to_read,
+    needs_read,
     retry_delay,
 )
 
@@ -139,9 +140,13 @@
         confirm_versions(store, change.as_of_ms, now)
 
     async def _read_items(self, change: PlatformChange) -> None:
+        store = self.node_state["store"]
         disabled = self.node_state["settings"].disabled
-        for name in names_to_read(self.node_state["store"], change, disabled):
-            await self._read_item(name)
+        published = dict(change.versions)
+        for name in names_to_read(store, change, disabled):
+            # A peer may have brought the copy while the platform was slow or refused reads.
+            if needs_read(store, name, published[name], disabled):
+                await self._read_item(name)
 
     async def _read_item(self, name: str) -> None:
         count_platform_read(self.node_state["platform"], asyncio.get_running_loop().time())
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -266,13 +266,29 @@
 def names_to_read(
     store: StoreState, change: PlatformChange, disabled: frozenset[Mechanism] = frozenset()
 ) -> list[str]:
-    """Return the changed items of which this node has not seen the published version."""
-    names = []
+    """Return the changed items of which this node has not seen the published version.
+
+    VM lists come first: with them a new VM finds peers, which have copies of the rest.
+    """
+    lists = []
+    sections = []
     for name, version in change.versions:
-        goes_back = Mechanism.VERSION_ORDER in disabled and version != version_in_force(store, name)
-        if goes_back or version > store["newest_seen"].get(name, 0):
-            names.append(name)
-    return names
+        if not needs_read(store, name, version, disabled):
+            continue
+        if name.startswith(VM_LIST_PREFIX):
+            lists.append(name)
+            continue
+        sections.append(name)
+    return lists + sections
+
+
+def needs_read(
+    store: StoreState, name: str, version: int, disabled: frozenset[Mechanism] = frozenset()
+) -> bool:
+    """Tell whether the published version of an item has not been seen here."""
+    if Mechanism.VERSION_ORDER in disabled and version != version_in_force(store, name):
+        return True
+    return version > store["newest_seen"].get(name, 0)
 
 
 def is_caught_up(store: StoreState, change: PlatformChange) -> bool:
--- /dev/null
+++ b/src/jacinthsail/testing/measure_control.py
@@ -0,0 +1,208 @@
+"""Measures what single steps of the control of one node cost at the target size.
+
+    python -m jacinthsail.testing.measure_control
+
+One process holds a document of 220 sections and 11 VM lists of 273 entries, without connections.
+"""
+
+import json
+import os
+import statistics
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import app
+from returns.result import Success
+
+from jacinthsail.internal.adapters.wire import LENGTH_PREFIX, decode_payload, encode_frame
+from jacinthsail.internal.commands.idempotency import record_outcome, record_waiting
+from jacinthsail.internal.commands.replication import accept_item
+from jacinthsail.internal.model.calls import Answered
+from jacinthsail.internal.model.idempotency import IssuedKey
+from jacinthsail.internal.model.messages import Ask, ItemCopy, Message, Offer
+from jacinthsail.internal.model.replication import Item
+from jacinthsail.internal.model.settings import Endpoint, NodeSettings
+from jacinthsail.internal.model.state import NodeState
+from jacinthsail.internal.queries.documents import digest_of
+from jacinthsail.internal.queries.initial import initial_state
+from jacinthsail.internal.queries.membership import gossip_peers, is_watcher
+from jacinthsail.internal.queries.replication import (
+    decide_ask,
+    decide_item,
+    heartbeat_of,
+    offer_of_item,
+    versions_held,
+)
+from jacinthsail.testing.measure_replication import (
+    TARGET_DOMAINS,
+    TARGET_SECTIONS,
+    TARGET_VMS_PER_DOMAIN,
+    full_section_text,
+    resident_mb,
+    vacant_entry,
+)
+
+REPEATS = 50
+
+# As many keys as a node remembers by default, with answers that fill the 32 MB kept for them.
+LEDGER_KEYS = 50_000
+LEDGER_ANSWER_BYTES = 640
+ENDPOINT = Endpoint("127.0.0.1", 1)
+
+
+class Cost(NamedTuple):
+    """Processor time of one step in microseconds, over its repeats."""
+
+    step: str
+    median_us: float
+    max_us: float
+
+
+def vm_list_text(domain: str, region: str, last_number: int) -> str:
+    """Return a VM list in which the last entry has a number of its own."""
+    entries = []
+    for number in [*range(TARGET_VMS_PER_DOMAIN - 1), last_number]:
+        entry = vacant_entry(domain, region, number, 0)
+        del entry["leaving_at_ms"]
+        entries.append(entry | {"status": "live"})
+    return json.dumps({"failure_domain": domain, "vms": entries})
+
+
+def item_of(name: str, version: int, text: str) -> Item:
+    """Return a published item."""
+    body = text.encode()
+    return Item(name, version, digest_of(body), body, 1)
+
+
+def full_state() -> NodeState:
+    """Return the state of a node at the target size."""
+    domain, region = TARGET_DOMAINS[0]
+    settings = NodeSettings(
+        vm=f"{domain}-vacant-0",
+        failure_domain=domain,
+        region=region,
+        service="service-0",
+        callers=ENDPOINT,
+        relay=ENDPOINT,
+        operators=ENDPOINT,
+        target=ENDPOINT,
+        platform=ENDPOINT,
+        seeds=(),
+        cross_region_bytes_per_s=1,
+        ledger_entries=LEDGER_KEYS,
+        log_buffer_lines=1,
+        disabled=frozenset(),
+    )
+    state = initial_state(settings, "incarnation", 0.0, 0)
+    for number in range(TARGET_SECTIONS):
+        install(state, item_of(f"section/{number}", 1, full_section_text(number, 80)))
+    for domain, region in TARGET_DOMAINS:
+        text = vm_list_text(domain, region, TARGET_VMS_PER_DOMAIN)
+        install(state, item_of(f"vms/{domain}", 1, text))
+    return state
+
+
+def install(state: NodeState, item: Item) -> None:
+    """Decide on one copy and put it into force."""
+    accept_item(state["store"], decide_item(state["store"], item), 0.0)
+
+
+def cost_of(step: str, run: Callable[[int], object]) -> Cost:
+    """Return the cost of a step, which gets the number of its repeat."""
+    times_us = []
+    for number in range(REPEATS):
+        started_at = time.process_time_ns()
+        run(number)
+        times_us.append((time.process_time_ns() - started_at) / 1000)
+    return Cost(step, statistics.median(times_us), max(times_us))
+
+
+def costs(state: NodeState) -> list[Cost]:
+    """Return the costs of the steps that changes and heartbeats cause."""
+    store = state["store"]
+    domain, region = TARGET_DOMAINS[0]
+    sections = []
+    lists = []
+    for number in range(REPEATS):
+        sections.append(item_of("section/7", 2 + number, full_section_text(7, 81 + number)))
+        text = vm_list_text(domain, region, 1000 + number)
+        lists.append(item_of(f"vms/{domain}", 2 + number, text))
+    heartbeat = encode_frame(heartbeat_of(state))
+    copy = encode_frame(ItemCopy(sections[0]))
+    offer = Offer(versions_held(store), complete=True)
+    return [
+        cost_of("install a changed section", lambda number: install(state, sections[number])),
+        cost_of("install a changed VM list", lambda number: install(state, lists[number])),
+        cost_of("choose gossip peers", lambda _: gossip_peers(store, state["settings"])),
+        cost_of("decide whether to watch", lambda _: is_watcher(store, state["settings"])),
+        cost_of("make and encode a heartbeat", lambda _: encode_frame(heartbeat_of(state))),
+        cost_of("decode a heartbeat", lambda _: decoded(heartbeat)),
+        cost_of("encode a section copy", lambda _: encode_frame(ItemCopy(sections[0]))),
+        cost_of("decode a section copy", lambda _: decoded(copy)),
+        cost_of("encode a complete offer", lambda _: encode_frame(offer)),
+        cost_of("compare a complete offer", lambda _: decide_ask(store, offer)),
+    ]
+
+
+def decoded(frame: bytes) -> Message:
+    """Return the message of a frame."""
+    match decode_payload(frame[LENGTH_PREFIX.size :], "measurement"):
+        case Success(result):
+            message: Message = result
+            return message
+    raise AssertionError("a frame made here can be decoded")
+
+
+def frame_sizes(state: NodeState) -> dict[str, int]:
+    """Return the bytes of the frames that control sends."""
+    store = state["store"]
+    section = store["items"]["section/7"]
+    vm_list = store["items"][f"vms/{TARGET_DOMAINS[0][0]}"]
+    messages: dict[str, Message] = {
+        "heartbeat": heartbeat_of(state),
+        "offer of one item": offer_of_item(section),
+        "ask for one item": Ask((section.name,)),
+        "section copy": ItemCopy(section),
+        "VM list copy": ItemCopy(vm_list),
+        "complete offer": Offer(versions_held(store), complete=True),
+        "empty answer to an offer": Offer((), complete=False, is_answer=True),
+    }
+    return {name: len(encode_frame(message)) for name, message in messages.items()}
+
+
+def fill_ledger(state: NodeState) -> None:
+    """Record an answer for as many keys as a node remembers."""
+    ledger = state["ledger"]
+    for number in range(LEDGER_KEYS):
+        key = IssuedKey("vm-1", f"{number:032x}", f"{number:032x}", number)
+        record_waiting(ledger, key, f"{number:032x}")
+        record_outcome(ledger, key, Answered(200, "text/plain", bytes(LEDGER_ANSWER_BYTES), 0))
+
+
+def run(_argv: list[str]) -> None:
+    """Measure and print two tables."""
+    state = full_state()
+    print("| step | processor time, us (median / max) |")
+    print("| --- | --- |")
+    for cost in costs(state):
+        print(f"| {cost.step} | {cost.median_us:.0f} / {cost.max_us:.0f} |")
+    print("| frame | bytes |")
+    print("| --- | --- |")
+    for name, size in frame_sizes(state).items():
+        print(f"| {name} | {size} |")
+    items = state["store"]["items"].values()
+    print(f"bodies: {sum(len(item.body) for item in items)} bytes in {len(items)} items")
+    before_mb = resident_mb(os.getpid())
+    fill_ledger(state)
+    entries = len(state["ledger"]["entries"])
+    print(f"ledger: {resident_mb(os.getpid()) - before_mb:.1f} MB for {entries} keys with answers")
+
+
+def main() -> None:
+    """Run the measurement."""
+    app.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/jacinthsail/testing/measure_replication.py
+++ b/src/jacinthsail/testing/measure_replication.py
@@ -1,10 +1,12 @@
 """Measures how changes spread and what control costs a node.
 
-    python -m jacinthsail.testing.measure_replication --nodes 10,30
+    python -m jacinthsail.testing.measure_replication --nodes 10,30 [--target_document]
 
 Each size starts that many node processes without targets and one platform stand-in on loopback.
+With ``--target_document`` the nodes hold the document and the VM lists of the target size.
 """
 
+import hashlib
 import json
 import os
 import statistics
@@ -15,14 +17,30 @@
 
 from absl import app, flags
 
-from jacinthsail.testing.mesh import PLATFORM, Mesh, MeshVm, process_name
+from jacinthsail.testing.mesh import (
+    LISTED_AGO_MS,
+    PLATFORM,
+    Mesh,
+    MeshVm,
+    process_name,
+)
 
 _NODES = flags.DEFINE_string("nodes", "10,30", "Numbers of nodes, separated by commas.")
 _CHANGES = flags.DEFINE_integer("changes", 10, "How many changes to publish at each size.")
 _IDLE_S = flags.DEFINE_float("idle_s", 20.0, "How long the cost at idle is measured.")
 
+_TARGET_DOCUMENT = flags.DEFINE_bool(
+    "target_document", False, "Hold 220 sections and 11 VM lists of 273 entries."
+)
+
 DOMAINS = (("manila", "luzon"), ("baguio", "luzon"), ("davao", "mindanao"), ("cagayan", "mindanao"))
 SECTIONS = 20
+
+# The target size: 3,000 VMs in 11 failure domains of 3 regions, and a document of 1 MB.
+TARGET_SECTIONS = 220
+TARGET_VMS_PER_DOMAIN = 273
+TARGET_DOMAINS = tuple((f"domain-{number}", f"region-{number // 4}") for number in range(11))
+SECTION_BYTES = 4_500
 SETTLE_S = 5.0
 SPREAD_POLL_S = 2.0
 
@@ -62,6 +80,15 @@
     bytes_per_s: dict[str, float]
     cpu_percent: tuple[float, ...]
     rss_mb: tuple[float, ...]
+    change_bytes: dict[str, float]
+    change_cpu_ms: float
+
+
+class ChangeCost(NamedTuple):
+    """What one change costs a node beside its idle rate: control bytes by distance, and time."""
+
+    bytes_by_distance: dict[str, float]
+    cpu_ms: float
 
 
 class NodesWithoutTargets(Mesh):
@@ -72,19 +99,89 @@
         self.start_process(vm, "node")
 
 
+class NodesWithTargetDocument(NodesWithoutTargets):
+    """Nodes that hold VM lists of the target size.
+
+    The entries besides the nodes are leaving, so that no node tries to exchange copies with them.
+    """
+
+    def publish_vm_lists(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Publish the list of each failure domain, filled up with entries of VMs without a node."""
+        for domain, region in TARGET_DOMAINS:
+            self.publish(f"vms/{domain}", self.vm_list(domain, region).encode())
+
+    def vm_list(self, domain: str, region: str) -> str:
+        """Return the text of a VM list of the target size."""
+        listed_at_ms = time.time_ns() // 1_000_000 - LISTED_AGO_MS
+        entries = []
+        for vm in self.vms.values():
+            if vm.failure_domain == domain:
+                self.listed_at_ms.setdefault(vm.vm, listed_at_ms)
+                entries.append(self._list_entry(vm))
+        for number in range(len(entries), TARGET_VMS_PER_DOMAIN):
+            entries.append(vacant_entry(domain, region, number, listed_at_ms))
+        return json.dumps({"failure_domain": domain, "vms": entries})
+
+
+def vacant_entry(domain: str, region: str, number: int, listed_at_ms: int) -> dict[str, object]:
+    """Return the entry of a VM that has no node.
+
+    Address and time differ between entries, since the size of a compressed copy depends on that.
+    """
+    digits = int(hashlib.sha256(f"{domain} {number}".encode()).hexdigest()[:8], 16)
+    listed_at_ms -= digits % 100_000_000
+    return {
+        "vm": f"{domain}-vacant-{number}",
+        "host": f"127.{digits >> 16 & 255}.{digits >> 8 & 255}.{digits & 255}",
+        "callers_port": 1,
+        "relay_port": 1,
+        "failure_domain": domain,
+        "region": region,
+        "service": f"service-{number % TARGET_SECTIONS}",
+        "status": "leaving",
+        "listed_at_ms": listed_at_ms,
+        "leaving_at_ms": listed_at_ms,
+    }
+
+
 def section_text(number: int, slots: int) -> str:
-    """Return the text of one section."""
+    """Return the text of one short section."""
     return SECTION_TEXT.format(number=number, slots=slots)
 
 
+def full_section_text(number: int, slots: int) -> str:
+    """Return the text of one section, which comments fill up to its part of a 1 MB document.
+
+    Of the digits in the comments zlib leaves half, which is more than it leaves of prose.
+    """
+    lines = [section_text(number, slots)]
+    size = len(lines[0])
+    while size < SECTION_BYTES:
+        digits = hashlib.sha256(f"{number} {size}".encode()).hexdigest()[:24]
+        lines.append(f"# {digits} is a note\n")
+        size += len(lines[-1])
+    return "".join(lines)
+
+
+def published_text(number: int, slots: int) -> str:
+    """Return the text of one section as this run publishes it."""
+    if _TARGET_DOCUMENT.value:
+        return full_section_text(number, slots)
+    return section_text(number, slots)
+
+
 def measure(nodes: int, changes: int, idle_s: float) -> Measured:
     """Return the figures for a number of nodes."""
+    is_target = _TARGET_DOCUMENT.value
+    domains = TARGET_DOMAINS if is_target else DOMAINS
+    section_count = TARGET_SECTIONS if is_target else SECTIONS
     vms = []
     for index in range(nodes):
-        domain, region = DOMAINS[index % len(DOMAINS)]
-        vms.append(MeshVm(f"vm-{index}", f"service-{index % SECTIONS}", domain, region))
-    sections = {str(number): section_text(number, 80) for number in range(SECTIONS)}
-    with NodesWithoutTargets(vms, sections) as mesh:
+        domain, region = domains[index % len(domains)]
+        vms.append(MeshVm(f"vm-{index}", f"service-{index % section_count}", domain, region))
+    sections = {str(number): published_text(number, 80) for number in range(section_count)}
+    mesh_type = NodesWithTargetDocument if is_target else NodesWithoutTargets
+    with mesh_type(vms, sections) as mesh:
         time.sleep(SETTLE_S)
         before = usage_of(mesh)
         time.sleep(idle_s)
@@ -95,14 +192,30 @@
             times = spread_of_change(mesh, change)
             spread.extend(times)
             missed += nodes - len(times)
-    return summarised(nodes, spread, missed, before, after)
+        last = usage_of(mesh)
+    cost = cost_of_change(nodes, changes, before, after, last)
+    return summarised(nodes, spread, missed, before, after, cost)
+
+
+def cost_of_change(
+    nodes: int, changes: int, before: Usage, after: Usage, last: Usage
+) -> ChangeCost:
+    """Return what one change costs a node: the use while changes spread, less that at idle."""
+    part = (last.taken_at - after.taken_at) / (after.taken_at - before.taken_at)
+    extra_bytes = {}
+    for distance, total in last.bytes_by_distance.items():
+        idle = (after.bytes_by_distance[distance] - before.bytes_by_distance[distance]) * part
+        extra_bytes[distance] = (total - after.bytes_by_distance[distance] - idle) / nodes / changes
+    idle_cpu_s = (sum(after.cpu_s) - sum(before.cpu_s)) * part
+    extra_cpu_s = sum(last.cpu_s) - sum(after.cpu_s) - idle_cpu_s
+    return ChangeCost(extra_bytes, 1000 * extra_cpu_s / nodes / changes)
 
 
 def spread_of_change(mesh: Mesh, change: int) -> list[float]:
     """Publish one change and return after how many seconds it was in force on each node."""
     name = f"section/{change % SECTIONS}"
     published_at = time.monotonic()
-    version = published_version(mesh, name, section_text(change % SECTIONS, 81 + change))
+    version = published_version(mesh, name, published_text(change % SECTIONS, 81 + change))
     latest = published_at + SPREAD_TIMEOUT_S
     times: dict[str, float] = {}
     while len(times) < len(mesh.vms) and time.monotonic() < latest:
@@ -160,7 +273,12 @@
 
 
 def summarised(
-    nodes: int, spread: list[float], missed: int, before: Usage, after: Usage
+    nodes: int,
+    spread: list[float],
+    missed: int,
+    before: Usage,
+    after: Usage,
+    cost: ChangeCost,
 ) -> Measured:
     """Return the figures of one size."""
     seconds = after.taken_at - before.taken_at
@@ -179,6 +297,8 @@
         bytes_per_s=bytes_per_s,
         cpu_percent=tuple(cpu_percent),
         rss_mb=after.rss_mb,
+        change_bytes=cost.bytes_by_distance,
+        change_cpu_ms=cost.cpu_ms,
     )
 
 
@@ -196,6 +316,10 @@
         f"{measured.bytes_per_s['other-region']:.0f}",
         f"{statistics.mean(measured.cpu_percent):.2f} / {max(measured.cpu_percent):.2f}",
         f"{statistics.mean(measured.rss_mb):.1f} / {max(measured.rss_mb):.1f}",
+        f"{measured.change_bytes['own-domain']:.0f}",
+        f"{measured.change_bytes['own-region']:.0f}",
+        f"{measured.change_bytes['other-region']:.0f}",
+        f"{measured.change_cpu_ms:.1f}",
     ]
     return "| " + " | ".join(cells) + " |"
 
@@ -203,8 +327,9 @@
 HEADER = """\
 | nodes | change in force after, s (median / p99 / max) | nodes missed | platform reads/s \
 | control B/s in domain | in region | across regions | CPU % of a core (mean / max) \
-| RSS MB (mean / max) |
-| --- | --- | --- | --- | --- | --- | --- | --- | --- |"""
+| RSS MB (mean / max) | bytes per change in domain | in region | across regions \
+| CPU ms per change |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"""
 
 
 def run(_argv: list[str]) -> None:
--- a/tests/fast/test_replication.py
+++ b/tests/fast/test_replication.py
@@ -271,6 +271,12 @@
         self.assertEqual(names_to_read(store, change), ["section/b"])
         self.assertFalse(is_caught_up(store, change))
 
+    def test_new_vm_reads_the_vm_lists_first(self):
+        """A VM that knows no peers yet would read the whole document from the platform."""
+        change = PlatformChange(3, 1000, (("section/a", 1), ("vms/domain-0", 2), ("section/b", 3)))
+        names = names_to_read(initial_store(0.0), change)
+        self.assertEqual(names, ["vms/domain-0", "section/a", "section/b"])
+
 
 def held_by(store):
     held = list(store["items"].values())
