Keep rendezvous scores between choices of gossip peers

Cause: each changed VM list makes a node choose its gossip peers among 3,003 entries, which held up its loop, and so its calls, for 8 ms.

Change: scores are kept, as they never change, and the highest are selected without sorting all.

--- a/src/jacinthsail/internal/queries/membership.py
+++ b/src/jacinthsail/internal/queries/membership.py
@@ -1,6 +1,8 @@
 """Decides which VMs watch the platform, which exchange copies, and what may cross regions."""
 
 from collections.abc import Iterable
+from functools import lru_cache
+from heapq import nlargest
 
 import xxhash
 
@@ -20,6 +22,9 @@
 LINK_BURST_S = 1.0
 
 
+# Scores never change, and a node needs only those of its own name and of its failure domain. A VM
+# list changes often in a large fleet, and scoring 3,000 VMs again would hold up calls.
+@lru_cache(maxsize=8192)
 def rendezvous_score(place: str, vm: str) -> int:
     """Return the score of a VM for a place; the VMs with the highest scores are chosen."""
     return xxhash.xxh3_64_intdigest(f"{place}\n{vm}".encode())
@@ -27,8 +32,7 @@
 
 def highest_scores(place: str, entries: Iterable[VmEntry], count: int) -> list[VmEntry]:
     """Return the entries with the highest scores, the same on every node with the same list."""
-    ranked = sorted(entries, key=lambda entry: (rendezvous_score(place, entry.vm), entry.vm))
-    return ranked[-count:][::-1]
+    return nlargest(count, entries, lambda entry: (rendezvous_score(place, entry.vm), entry.vm))
 
 
 def watchers_of(store: StoreState, failure_domain: str) -> list[VmEntry]:
