Exchange calls with the target without the client session's request path

Cause: in a profile of the own-target path the session's request method was the largest part of the node's work. It prepares redirects, cookies, proxies, traces and a total time-out for each call, builds a request and a response object, and starts a task for the body, so that the head waits for one more turn of the loop on Python 3.11.

Change: the connections, the writer and the parser of aiohttp are used directly; head and body leave in one write. A redirect is now the target's answer and is not followed, since the call would be sent a second time.

--- a/src/jacinthsail/internal/adapters/target.py
+++ b/src/jacinthsail/internal/adapters/target.py
@@ -8,6 +8,7 @@
 import mode
 from yarl import URL
 
+from jacinthsail.internal.adapters.exchange import TargetResponse, post
 from jacinthsail.internal.adapters.headers import (
     CONTENT_LENGTH,
     CONTENT_TYPE,
@@ -65,10 +66,7 @@
     whole = Mechanism.WHOLE_ANSWERS not in settings.disabled
     try:
         async with asyncio.timeout_at(head.deadline):
-            async with session.post(
-                url, data=call.body, headers=headers, timeout=timeout
-            ) as response:
-                body = await response.read() if whole else await _read_what_comes(response)
+            response = await post(session, url, call.body, headers, timeout, whole=whole)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         if Mechanism.NOT_RUN_PROOF in settings.disabled:
             return NotRun(Reason.CONNECTION_LOST, head.retries_left)
@@ -78,10 +76,10 @@
         return NotRun(Reason.TARGET_REFUSED, retries_left)
     if whole and not _has_known_end(response):
         return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
-    if len(body) > MAX_ANSWER_BYTES:
+    if len(response.body) > MAX_ANSWER_BYTES:
         return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
     content_type = response.headers.get(CONTENT_TYPE, "application/octet-stream")
-    return Answered(response.status, content_type, body, retries_left)
+    return Answered(response.status, content_type, response.body, retries_left)
 
 
 @lru_cache(maxsize=256)
@@ -96,7 +94,7 @@
     return aiohttp.ClientTimeout(total=None, sock_connect=max(remaining_s, 0.0) * CONNECT_SHARE)
 
 
-def _has_known_end(response: aiohttp.ClientResponse) -> bool:
+def _has_known_end(response: TargetResponse) -> bool:
     """Tell whether a lost connection would have been noticed as a short answer.
 
     An answer without a length ends where its connection ends, even when the target died half-way.
@@ -106,17 +104,6 @@
     return response.status in (204, 304)
 
 
-async def _read_what_comes(response: aiohttp.ClientResponse) -> bytes:
-    """Return the part of the answer that arrived; only without the whole-answers mechanism."""
-    body = b""
-    try:
-        async for chunk in response.content.iter_any():
-            body += chunk
-    except aiohttp.ClientPayloadError:
-        return body
-    return body
-
-
 @singledispatch
 def outcome_of_failure(error: Exception, retries_left: int) -> Outcome:
     """Return what is known of a call whose exchange with the target failed."""
--- a/tests/fast/test_target.py
+++ b/tests/fast/test_target.py
@@ -18,6 +18,9 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nbody"
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nbody"
+MALFORMED = b"not an answer\r\n\r\n"
+REDIRECT = b"HTTP/1.1 307 Elsewhere\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 TOO_LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + b"x" * 1048577
 
 
@@ -67,6 +70,35 @@
 
         self.assertEqual(await self.call(answer), Unknown(Reason.INCOMPLETE_ANSWER, 2))
 
+    async def test_malformed_answer_is_unknown(self):
+        """The target may have run the call before it answered with something else than HTTP."""
+        outcome = await self.call(lambda server: server.transport.write(MALFORMED))
+        self.assertEqual(outcome, Unknown(Reason.CONNECTION_LOST, 2))
+
+    async def test_redirect_is_the_answer(self):
+        """Following a redirect would send a call again that may have run already."""
+        outcome = await self.call(lambda server: server.transport.write(REDIRECT))
+        self.assertEqual(outcome.status, 307)
+        self.assertEqual(len(self.accepted), 1)
+        self.assertEqual(self.accepted[0].received.count(b"POST "), 1)
+
+    async def test_interim_answer_is_not_the_answer(self):
+        """The caller would get an empty body, and the next call the answer to this one."""
+        outcome = await self.call(lambda server: server.transport.write(CONTINUE + WHOLE))
+        self.assertEqual((outcome.status, outcome.body), (200, b"body"))
+
+    async def test_connection_is_used_again(self):
+        """Opening a connection for each call would add its round trip to every call."""
+        server, endpoint = await start_server(
+            lambda: RawServer(self.accepted, answer=lambda each: each.transport.write(WHOLE))
+        )
+        self.addCleanup(server.close)
+        settings = node_settings(target=endpoint)
+        for _ in range(3):
+            call = call_due_in(9)
+            await call_target(self.session, settings, call, call.head.deadline - 9)
+        self.assertEqual(len(self.accepted), 1)
+
     async def test_too_large_answer_is_unknown(self):
         """Such an answer would end a peer connection and the other calls on it."""
         outcome = await self.call(lambda server: server.transport.write(TOO_LARGE))
