--- a/src/jacinthsail/testing/measure_latency.py
+++ b/src/jacinthsail/testing/measure_latency.py
@@ -1,11 +1,15 @@
 """Measures the latency that nodes add to calls, interleaved with direct calls to the same target.
 
-Usage: ``python -m jacinthsail.testing.measure_latency --calls=3000 --concurrency=1``. The figures
-of one run are compared with each other only, since the speed of the machine varies between runs.
+Usage: ``python -m jacinthsail.testing.measure_latency --calls=1000 --runs=5``. The figures of one
+run are compared with each other only, since the speed of the machine varies between runs; of
+several runs the one with the median of the added p99 on the own-target path is shown, with the
+spread of all. With ``--rate=80`` it prints instead the CPU and memory of a node at rest and while
+calls for its target arrive at that rate.
 """
 
 import asyncio
 import gc
+import os
 import socket
 import subprocess
 import sys
@@ -20,6 +24,8 @@
 
 _CALLS = flags.DEFINE_integer("calls", 3000, "Calls on each path.")
 _CONCURRENCY = flags.DEFINE_integer("concurrency", 1, "Calls in flight at a time.")
+_RUNS = flags.DEFINE_integer("runs", 1, "Runs, each with a mesh of its own.")
+_RATE = flags.DEFINE_integer("rate", 0, "Calls per second for the measurement of CPU and memory.")
 _PAUSE_S = flags.DEFINE_float("pause_s", 0.0, "Pause before the calls, to attach a profiler.")
 
 WARM_UP_CALLS = 300
@@ -27,6 +33,11 @@
 ANSWER_BODY = b"a" * 1024
 DEPTH_OF_A_NESTED_CALL = "1"
 
+DIRECT = "direct"
+OWN_TARGET = "own target"
+
+COST_MEASUREMENT_S = 10.0
+
 _SECTION = """
 owner = "measurement"
 [services.measured]
@@ -90,8 +101,8 @@
     measured = mesh.ports["measured-1"]
     calling = mesh.ports["calling-1"]
     return [
-        Path("direct", f"http://{HOST}:{measured.target}/measured/view", context),
-        Path("own target", f"http://{HOST}:{measured.callers}/{call}", {}),
+        Path(DIRECT, f"http://{HOST}:{measured.target}/measured/view", context),
+        Path(OWN_TARGET, f"http://{HOST}:{measured.callers}/{call}", {}),
         Path("relayed", f"http://{HOST}:{calling.callers}/{call}", {}),
         Path("outbound", f"http://{HOST}:{calling.callers}/{call}", context),
     ]
@@ -137,7 +148,7 @@
 
 def report(latencies: dict[str, list[float]]) -> str:
     """Return the table of figures."""
-    direct = figures_of(latencies["direct"])
+    direct = figures_of(latencies[DIRECT])
     lines = ["path        p50 ms  p99 ms  added p50  added p99  ratio p50  ratio p99"]
     for name, values in latencies.items():
         figures = figures_of(values)
@@ -149,6 +160,78 @@
     return "\n".join(lines)
 
 
+def added_p99(latencies: dict[str, list[float]], name: str) -> float:
+    """Return what a path adds to a direct call at p99, in ms."""
+    return figures_of(latencies[name]).p99 - figures_of(latencies[DIRECT]).p99
+
+
+def spread(runs: list[dict[str, list[float]]]) -> str:
+    """Return the lowest and the highest added p50 and p99 of each path over all runs."""
+    lines = ["path        added p50 from..to  added p99 from..to"]
+    for name in runs[0]:
+        p50s = [figures_of(run[name]).p50 - figures_of(run[DIRECT]).p50 for run in runs]
+        p99s = [added_p99(run, name) for run in runs]
+        lines.append(
+            f"{name:10}  {min(p50s):9.3f}..{max(p50s):<7.3f}  {min(p99s):9.3f}..{max(p99s):<7.3f}"
+        )
+    return "\n".join(lines)
+
+
+def median_run(runs: list[dict[str, list[float]]]) -> dict[str, list[float]]:
+    """Return the run with the median added p99 on the own-target path."""
+    ordered = sorted(runs, key=lambda run: added_p99(run, OWN_TARGET))
+    return ordered[len(ordered) // 2]
+
+
+class ProcessCost(NamedTuple):
+    """What a process has used since its start, and the memory that it holds now."""
+
+    cpu_s: float
+    resident_bytes: int
+
+
+def cost_of(pid: int) -> ProcessCost:
+    """Return the CPU time and the memory of a process."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ProcessCost(
+        ticks / os.sysconf("SC_CLK_TCK"), int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+    )
+
+
+async def call_at_rate(path: Path, rate: int, seconds: float) -> None:
+    """Call a path at a fixed rate, one call at a time."""
+    async with aiohttp.ClientSession(auto_decompress=False) as session:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        for number in range(int(rate * seconds)):
+            await asyncio.sleep(max(0.0, started + number / rate - loop.time()))
+            await _one_call(session, path)
+
+
+def report_cost(mesh: Mesh, rate: int) -> str:
+    """Return the cost of the measured node at rest and at a rate of calls for its own target."""
+    pid = mesh.processes[process_name("measured-1", "node")].pid
+    path = paths_of(mesh)[1]
+    asyncio.run(call_at_rate(path, rate, 2.0))
+    at_first = cost_of(pid)
+    time.sleep(COST_MEASUREMENT_S)
+    at_rest = cost_of(pid)
+    started = time.monotonic()
+    asyncio.run(call_at_rate(path, rate, COST_MEASUREMENT_S))
+    elapsed_s = time.monotonic() - started
+    at_rate = cost_of(pid)
+    rest_share = (at_rest.cpu_s - at_first.cpu_s) / COST_MEASUREMENT_S
+    rate_share = (at_rate.cpu_s - at_rest.cpu_s) / elapsed_s
+    calls_per_s = int(rate * COST_MEASUREMENT_S) / elapsed_s
+    return (
+        f"at rest: {rest_share:.1%} of a core, {at_rest.resident_bytes / 1e6:.0f} MB\n"
+        f"at {calls_per_s:.0f} calls/s: {rate_share:.1%} of a core,"
+        f" {at_rate.resident_bytes / 1e6:.0f} MB"
+    )
+
+
 async def _answer(request: web.BaseRequest) -> web.Response:
     await request.read()
     return web.Response(body=ANSWER_BODY)
@@ -183,19 +266,44 @@
     if argv[1:2] == ["target"]:
         asyncio.run(_serve_target(int(argv[2])))
         return
+    sys.stdout.write(f"load average {_load()}\n")
+    runs = []
+    for _ in range(_RUNS.value):
+        with _new_mesh() as mesh:
+            replace_target(mesh, "measured-1")
+            if _RATE.value:
+                sys.stdout.write(report_cost(mesh, _RATE.value) + "\n")
+                continue
+            _pause_for_profiler(mesh)
+            runs.append(asyncio.run(measure(paths_of(mesh), _CALLS.value, _CONCURRENCY.value)))
+    sys.stdout.write(f"load average {_load()}\n")
+    if not runs:
+        return
+    sys.stdout.write(report(median_run(runs)) + "\n")
+    if len(runs) > 1:
+        sys.stdout.write(spread(runs) + "\n")
+
+
+def _load() -> str:
+    return ", ".join(f"{load:.1f}" for load in os.getloadavg())
+
+
+def _new_mesh() -> Mesh:
     vms = (
         MeshVm("measured-1", "measured", "manila", "luzon"),
         MeshVm("calling-1", "calling", "manila", "luzon"),
     )
-    with Mesh(vms, {"measured": _SECTION}) as mesh:
-        replace_target(mesh, "measured-1")
-        for vm in mesh.vms:
-            node = mesh.processes[process_name(vm, "node")]
-            sys.stdout.write(f"node {vm}: process {node.pid}\n")
-        sys.stdout.flush()
-        time.sleep(_PAUSE_S.value)
-        latencies = asyncio.run(measure(paths_of(mesh), _CALLS.value, _CONCURRENCY.value))
-    sys.stdout.write(report(latencies) + "\n")
+    return Mesh(vms, {"measured": _SECTION})
+
+
+def _pause_for_profiler(mesh: Mesh) -> None:
+    if not _PAUSE_S.value:
+        return
+    for vm in mesh.vms:
+        node = mesh.processes[process_name(vm, "node")]
+        sys.stdout.write(f"node {vm}: process {node.pid}\n")
+    sys.stdout.flush()
+    time.sleep(_PAUSE_S.value)
 
 
 def main() -> None:
