Take no refusal from a target that has made calls for the request

Cause: a target that hands on the reply to its own call repeats that call's not-run header, so its node called the parent not-run, tried it again, and forgot its key. Ruled out: the order of the calls; a nested call is known only to the node of the target that makes it.

Change: the node notes nested calls of the requests that its target serves and settles such a refusal as unknown.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -28,6 +28,7 @@
     close_allowance,
     end_retries,
     open_allowance,
+    record_nested_call,
     record_success,
     return_allowance,
     spend_retry,
@@ -58,8 +59,8 @@
 )
 from jacinthsail.internal.queries.limits import is_overload, sample_of
 from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy
-from jacinthsail.internal.queries.outcomes import settle
-from jacinthsail.internal.queries.retries import allowance_of, decide_retry
+from jacinthsail.internal.queries.outcomes import settle, settle_at_target
+from jacinthsail.internal.queries.retries import allowance_of, decide_retry, has_nested_call
 from jacinthsail.internal.queries.routing import decide_route, vm_of
 
 
@@ -117,6 +118,7 @@
             reason = reason_without_policy(self.node_state["store"])
             return NotRun(reason, 0), Refused(reason)
         if head.depth > 0:
+            record_nested_call(self.node_state["retries"], head.request_id)
             return await self._serve_with_retries(call, policy)
         retries = self.node_state["retries"]
         open_allowance(retries, head.request_id, head.retries_left)
@@ -204,6 +206,7 @@
         open_allowance(retries, head.request_id, head.retries_left)
         try:
             outcome = await self._run_at_target(call, entry.started)
+            outcome = settle_at_target(outcome, has_nested_call(retries, head.request_id))
             return outcome._replace(retries_left=allowance_of(retries, head.request_id))
         finally:
             close_allowance(retries, head.request_id)
--- a/src/jacinthsail/internal/commands/retries.py
+++ b/src/jacinthsail/internal/commands/retries.py
@@ -14,7 +14,9 @@
 def open_allowance(retries: RetryState, request_id: str, amount: int) -> None:
     """Hold the retries that a call brought for as long as the call is in progress."""
     held = retries["allowances"].get(request_id, Allowance(0, 0))
-    retries["allowances"][request_id] = Allowance(held.retries + amount, held.holders + 1)
+    retries["allowances"][request_id] = held._replace(
+        retries=held.retries + amount, holders=held.holders + 1
+    )
 
 
 def close_allowance(retries: RetryState, request_id: str) -> None:
@@ -23,7 +25,14 @@
     if held.holders <= 1:
         retries["allowances"].pop(request_id, None)
         return
-    retries["allowances"][request_id] = Allowance(0, held.holders - 1)
+    retries["allowances"][request_id] = held._replace(retries=0, holders=held.holders - 1)
+
+
+def record_nested_call(retries: RetryState, request_id: str) -> None:
+    """Remember that the own target has made a call for a request that it serves."""
+    held = retries["allowances"].get(request_id)
+    if held is not None:
+        retries["allowances"][request_id] = held._replace(has_nested=True)
 
 
 def return_allowance(retries: RetryState, request_id: str, amount: int) -> None:
--- a/src/jacinthsail/internal/model/retries.py
+++ b/src/jacinthsail/internal/model/retries.py
@@ -16,11 +16,13 @@
     """Retries that the calls of a request may still use from this VM.
 
     ``holders`` counts the calls in progress that brought retries with them. Without a holder there
-    is nobody to return an allowance to, so it is dropped.
+    is nobody to return an allowance to, so it is dropped. ``has_nested`` tells that the own target
+    has made calls for the request, so it has run some of it.
     """
 
     retries: int
     holders: int
+    has_nested: bool = False
 
 
 class RetryState(TypedDict):
--- a/src/jacinthsail/internal/queries/outcomes.py
+++ b/src/jacinthsail/internal/queries/outcomes.py
@@ -28,6 +28,21 @@
     return last
 
 
+@singledispatch
+def settle_at_target(outcome: object, has_nested: bool) -> Outcome:
+    """Return the outcome of a call at the target, which may have made calls while it ran it."""
+    assert isinstance(outcome, tuple)
+    return outcome  # type: ignore[return-value]
+
+
+@settle_at_target.register
+def _(outcome: NotRun, has_nested: bool) -> Outcome:
+    if has_nested:
+        # A target that hands on the reply to its own call says "not run" of that call.
+        return Unknown(outcome.reason, outcome.retries_left)
+    return outcome
+
+
 @singledispatch
 def doubt_of(attempt: object) -> Unknown | None:
     """Return the outcome of an attempt that may have run, or None when it is known."""
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -147,6 +147,11 @@
     return retries["allowances"].get(request_id, Allowance(0, 0)).retries
 
 
+def has_nested_call(retries: RetryState, request_id: str) -> bool:
+    """Tell whether the own target has made a call for a request that it serves."""
+    return retries["allowances"].get(request_id, Allowance(0, 0)).has_nested
+
+
 def budget_key(head: CallHead) -> str:
     """Return the key of a class's budget; class names are unique within a service only."""
     return f"{head.service}/{head.call_class}"
--- a/tests/fast/test_nested_retries.py
+++ b/tests/fast/test_nested_retries.py
@@ -7,7 +7,7 @@
 from jacinthsail.internal.adapters import dispatcher as dispatcher_module
 from jacinthsail.internal.adapters.dispatcher import Dispatcher
 from jacinthsail.internal.commands.admission import apply_service_policy
-from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason
+from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason, Unknown
 from jacinthsail.internal.model.document import FixedLimitPolicy
 from tests.common.checking import call_head
 from tests.common.fake_target import service_policy_with
@@ -84,6 +84,18 @@
         self.assertEqual(outcome.retries_left, 0)
         self.assertEqual(self.state["retries"]["allowances"], {})
 
+    async def test_reply_to_a_nested_call_is_not_the_outcome_of_its_parent(self):
+        """A target that hands on the reply to its own call has run, whatever the reply says."""
+        served = self.dispatcher(refusals=100)
+
+        async def hand_on(session, endpoint, call, now):
+            await served.serve_entry(self.call(depth=1))
+            return NotRun(Reason.TARGET_REFUSED, 0)
+
+        self.replace_target(hand_on)
+        outcome = await served.serve_own(self.call(retries_left=0))
+        self.assertEqual(outcome, Unknown(Reason.TARGET_REFUSED, 0))
+
     async def test_nested_call_that_outlives_its_parent_leaves_no_entry(self):
         """A target that answers before its nested calls do would fill the table."""
         served = self.dispatcher(refusals=0)
