Shorten the limiter's comparisons at few slots

Cause: a comparison took at least 40 calls. With 4 slots and calls of 200 ms that is 4 s at the lowered limit, longer than the slowdown itself; calls that had become fast again were then taken for a shorter queue, so the limit went down to 1 after the trigger had ended.

Change: comparisons need 12 calls, latency that falls by more than the calls in flight explain restores the limit, and growth adds at least one.

--- a/src/jacinthsail/internal/queries/limits.py
+++ b/src/jacinthsail/internal/queries/limits.py
@@ -37,8 +37,9 @@
 # would otherwise take seconds to grow.
 MIN_WINDOW_CALLS = 10
 
-# Means over fewer calls vary too much to be compared.
-MIN_COMPARED_CALLS = 20
+# Means over fewer calls vary too much to be compared. At 4 slots and 200 ms a call, comparisons of
+# 40 calls lasted longer than the slowdown that caused them and delayed the return of goodput.
+MIN_COMPARED_CALLS = 6
 
 # Below this share of the limit the calls in flight say nothing of what the limit does.
 USED_SHARE = 0.8
@@ -65,6 +66,10 @@
 BASELINE_FALL = 0.3
 BASELINE_DRIFT = 0.1
 
+# A shorter queue lowers latency at most in proportion to the calls in flight. Latency below this
+# share of the proportion means that the target itself has become faster.
+FASTER_SHARE = 0.6
+
 # One window may halve the limit but not more, since its mean may be wrong.
 STRONGEST_DECREASE = 0.5
 
@@ -199,7 +204,7 @@
 
 def _grown_by_ratio(limit: float, latency_ratio: float) -> float:
     if latency_ratio >= NO_QUEUE_RATIO:
-        return limit * FASTEST_GROWTH
+        return max(limit + 1, limit * FASTEST_GROWTH)
     return limit + sqrt(limit)
 
 
@@ -324,6 +329,8 @@
     limit = limiter.limit
     windows = limiter.trend.windows_until_check - 1
     baseline_s = baseline_after(limiter, means)
+    if has_become_faster(before, means):
+        return LimitStep(before.limit, baseline_s, None, windows)
     if not before.checks_baseline and not has_risen(means, baseline_s):
         return LimitStep(limit, baseline_s, None, windows)
     comparison = Comparison(limit, means.latency_s, means.in_flight, before.checks_baseline)
@@ -358,6 +365,12 @@
     return baseline_s
 
 
+def has_become_faster(before: Comparison, means: WindowMeans) -> bool:
+    """Tell whether latency fell by more than a shorter queue at the target explains."""
+    proportional_s = before.latency_s * means.in_flight / before.in_flight
+    return means.latency_s < FASTER_SHARE * proportional_s
+
+
 @singledispatch
 def is_overload(outcome: object) -> bool:
     """Tell whether an outcome says that the target has too much to do."""
--- a/tests/fast/test_limiters_compared.py
+++ b/tests/fast/test_limiters_compared.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from jacinthsail.internal.model.document import GradientLimitPolicy
 from tests.common.compare_limiters import SLOTS, compare
+from tests.common.fake_target import FakeTarget, Phase, service_policy_with
 
 ADAPTIVE = ("aimd", "gradient")
 
@@ -48,3 +50,14 @@
         for phase in ("cold start", "4 of 40 slots", "five times slower", "fast again"):
             with self.subTest(phase=phase):
                 self.assertGreater(self.results["gradient"][phase].useful_share, 0.85)
+
+    def test_few_slots_return_after_a_short_slowdown(self):
+        """Comparisons that outlast the slowdown keep the limit low after it has ended."""
+        slots, service_s = 4, 0.04
+        target = FakeTarget(service_policy_with(GradientLimitPolicy(1, 1, slots), 16), seed=3)
+        calls_per_s = slots / service_s
+        target.play(Phase("before", 4.0, slots, service_s, 0.6 * calls_per_s), 2.0)
+        target.play(Phase("slow", 3.0, slots, 5 * service_s, 1.2 * calls_per_s), 2.0)
+        target.play(Phase("first second", 1.0, slots, service_s, 0.9 * calls_per_s), 2.0)
+        later = target.play(Phase("later", 2.0, slots, service_s, 0.9 * calls_per_s), 2.0)
+        self.assertGreaterEqual(later.useful_share, 0.9)
