Hold calls at the front that a deep service would refuse

Cause: a call that seals refused had already run at filings and billing, and no node before seals knew.

Ruled out: refusing at arrival by the same limit.

Change: a node counts the refusals that calls of its own target meet, and bounds how many calls of that class and importance are in flight. The others wait in its queue, ordered by rank. Calls whose nested call was refused teach no latency. The expected wait and the check before the start include the call's own service time.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -24,6 +24,7 @@
     record_running,
     record_waiting,
 )
+from jacinthsail.internal.commands.nested import record_nested_refusal
 from jacinthsail.internal.commands.retries import (
     close_allowance,
     end_retries,
@@ -58,6 +59,11 @@
 )
 from jacinthsail.internal.queries.limits import is_overload, sample_of
 from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy
+from jacinthsail.internal.queries.nested import (
+    is_nested_refusal,
+    limits_nested_calls,
+    parents_of,
+)
 from jacinthsail.internal.queries.retries import allowance_of, decide_retry
 from jacinthsail.internal.queries.routing import decide_route, vm_of
 
@@ -81,7 +87,16 @@
         self.loop = asyncio.get_running_loop()
 
     async def serve_caller(self, call: Call) -> KeyedOutcome:
-        """Serve a call from a caller or from the own target, which gets a key if it needs one."""
+        """Serve a call from a caller or from the own target, and learn from what it met."""
+        served = await self._serve_caller(call)
+        admission = self.node_state["admission"]
+        if is_nested_refusal(served.outcome) and limits_nested_calls(admission):
+            for parent in parents_of(admission, call.head):
+                record_nested_refusal(admission, parent, self.loop.time())
+        return served
+
+    async def _serve_caller(self, call: Call) -> KeyedOutcome:
+        """Serve a call, which gets a key if it needs one."""
         head = call.head
         if class_policy(self.node_state["store"], head.service, head.call_class) is None:
             reason = reason_without_policy(self.node_state["store"])
--- a/src/jacinthsail/internal/adapters/gate.py
+++ b/src/jacinthsail/internal/adapters/gate.py
@@ -25,8 +25,8 @@
     decide_admission,
     drops_expired,
     is_expired,
+    may_start,
     next_to_start,
-    starts_at_once,
 )
 from jacinthsail.internal.queries.lookup import is_same_call
 
@@ -55,17 +55,18 @@
         if refusal is not None:
             return Entry(None, refusal._replace(retries_left=head.retries_left))
         queued = QueuedCall(self.admission["next_ticket"], head, now)
-        needs_no_place = starts_at_once(self.admission)
+        needs_no_place = may_start(self.admission, head, now)
         enqueue_call(self.admission, queued)
         if needs_no_place:
             start_call(self.admission, queued, now)
             return Entry(queued, None)
-        return await self._wait(queued)
+        return await self._wait(queued, now)
 
-    async def _wait(self, queued: QueuedCall) -> Entry:
+    async def _wait(self, queued: QueuedCall, now: float) -> Entry:
         loop = asyncio.get_running_loop()
         waiter: Waiter = loop.create_future()
         self.waiters[queued.ticket] = waiter
+        self.start_waiting(now)
         expiry = None
         if drops_expired(self.admission):
             expiry = loop.call_at(queued.head.deadline, self._expire, queued)
--- a/src/jacinthsail/internal/commands/admission.py
+++ b/src/jacinthsail/internal/commands/admission.py
@@ -1,5 +1,6 @@
 """Changes to the queue and the calls in flight of the own target."""
 
+from jacinthsail.internal.commands.nested import change_nested_in_flight, record_nested_end
 from jacinthsail.internal.model.admission import AdmissionState, QueuedCall, Sample
 from jacinthsail.internal.model.document import ServicePolicy
 from jacinthsail.internal.queries.admission import (
@@ -8,6 +9,7 @@
     threshold_after_window,
 )
 from jacinthsail.internal.queries.limits import limiter_after, limiter_for
+from jacinthsail.internal.queries.nested import shows_target
 
 # About the last 10 calls decide, so that the expected wait follows a target that slows down.
 LATENCY_WEIGHT = 0.1
@@ -51,6 +53,7 @@
     """Move a call from the queue to the calls in flight."""
     admission["queue"].discard(queued)
     admission["in_flight"][queued.ticket] = queued
+    change_nested_in_flight(admission, queued, 1)
 
 
 def finish_call(
@@ -58,6 +61,15 @@
 ) -> None:
     """Free the slot of a call and learn from its sample; a cancelled call has none."""
     del admission["in_flight"][queued.ticket]
+    shown = sample if shows_target(admission, queued) else None
+    if sample is not None:
+        record_nested_end(admission, queued, now)
+    change_nested_in_flight(admission, queued, -1)
+    admission["nested_refused"].discard(queued.ticket)
+    _learn(admission, shown, now)
+
+
+def _learn(admission: AdmissionState, sample: Sample | None, now: float) -> None:
     if sample is None:
         return
     admission["limiter"] = limiter_after(admission["limiter"], sample, now)
--- /dev/null
+++ b/src/jacinthsail/internal/commands/nested.py
@@ -0,0 +1,50 @@
+"""Changes to the limits that follow from refusals deeper in the chain."""
+
+from jacinthsail.internal.model.admission import AdmissionState, QueuedCall
+from jacinthsail.internal.queries.nested import (
+    FORGET_S,
+    first_nested_limit,
+    nested_key,
+    nested_limit_after_pass,
+    nested_limit_after_refusal,
+)
+
+
+def change_nested_in_flight(admission: AdmissionState, queued: QueuedCall, change: int) -> None:
+    """Count a call that started or ended, where its class has a limit."""
+    if not admission["nested_limits"]:
+        return
+    key = nested_key(queued.head)
+    nested = admission["nested_limits"].get(key)
+    if nested is not None:
+        in_flight = max(0, nested.in_flight + change)
+        admission["nested_limits"][key] = nested._replace(in_flight=in_flight)
+
+
+def record_nested_refusal(admission: AdmissionState, parent: QueuedCall, now: float) -> None:
+    """Lower the limit of a call in flight whose nested call was refused."""
+    if parent.ticket in admission["nested_refused"]:
+        return
+    admission["nested_refused"].add(parent.ticket)
+    key = nested_key(parent.head)
+    nested = admission["nested_limits"].get(key)
+    if nested is None:
+        calls = admission["in_flight"].values()
+        in_flight = sum(1 for queued in calls if nested_key(queued.head) == key)
+        admission["nested_limits"][key] = first_nested_limit(in_flight, now)
+        return
+    admission["nested_limits"][key] = nested_limit_after_refusal(nested, parent, now)
+
+
+def record_nested_end(admission: AdmissionState, queued: QueuedCall, now: float) -> None:
+    """Raise the limit after a call that met no refusal, and drop a limit that bounds nothing."""
+    if queued.ticket in admission["nested_refused"] or not admission["nested_limits"]:
+        return
+    key = nested_key(queued.head)
+    nested = admission["nested_limits"].get(key)
+    if nested is None:
+        return
+    if now - nested.refused_at > FORGET_S:
+        del admission["nested_limits"][key]
+        return
+    admission["nested_limits"][key] = nested_limit_after_pass(nested, queued)
--- a/src/jacinthsail/internal/model/admission.py
+++ b/src/jacinthsail/internal/model/admission.py
@@ -6,6 +6,7 @@
 
 from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.document import LimitPolicy
+from jacinthsail.internal.model.nested import NestedKey, NestedLimit
 from jacinthsail.internal.model.settings import Mechanism
 
 
@@ -102,7 +103,8 @@
 
     ``limit_policy`` is the policy that the limiter was made from. ``threshold`` is the lowest rank
     that is admitted while there is a queue; it follows the shortest time that the queue would have
-    needed to drain since ``window_start``.
+    needed to drain since ``window_start``. ``nested_refused`` holds the tickets of calls in flight
+    whose nested calls were refused.
     """
 
     disabled: frozenset[Mechanism]
@@ -115,6 +117,8 @@
     window_start: float
     window_min_wait_s: float
     mean_latency_s: float
+    nested_limits: dict[NestedKey, NestedLimit]
+    nested_refused: set[int]
     next_ticket: int
     draining: bool
 
--- a/src/jacinthsail/internal/queries/admission.py
+++ b/src/jacinthsail/internal/queries/admission.py
@@ -11,6 +11,7 @@
 from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.limits import limit_of
+from jacinthsail.internal.queries.nested import exceeds_nested_limit
 from jacinthsail.internal.queries.rank import MAX_IMPORTANCE, RANKS_PER_IMPORTANCE
 
 # How long a refused caller is asked to wait before it tries again.
@@ -54,9 +55,10 @@
         return Refuse(Reason.NOT_READY, RETRY_AFTER_S)
     if drops_expired(admission) and now >= head.deadline:
         return Refuse(Reason.DEADLINE_EXPIRED, 0.0)
-    if starts_at_once(admission):
+    if may_start(admission, head, now):
         return Admit()
-    if drops_expired(admission) and now + expected_wait_s(admission, head) >= head.deadline:
+    needed_s = expected_wait_s(admission, head) + admission["mean_latency_s"]
+    if drops_expired(admission) and now + needed_s >= head.deadline:
         return Refuse(Reason.DEADLINE_TOO_SHORT, RETRY_AFTER_S)
     if is_below_threshold(admission, head):
         return _in_place_of_lowest(admission, head, Reason.BELOW_THRESHOLD)
@@ -87,6 +89,16 @@
     return not admission["queue"] and has_room(admission)
 
 
+def may_start(admission: AdmissionState, head: CallHead, now: float) -> bool:
+    """Tell whether an arriving call needs no place in the queue.
+
+    What waits although there is room waits for services deeper in the chain.
+    """
+    if not admission["nested_limits"]:
+        return starts_at_once(admission)
+    return has_room(admission) and not exceeds_nested_limit(admission, head, now)
+
+
 def is_below_threshold(admission: AdmissionState, head: CallHead) -> bool:
     """Tell whether a call that has to wait ranks too low to be queued."""
     if Mechanism.IMPORTANCE in admission["disabled"]:
@@ -110,7 +122,11 @@
 
 def seconds_per_start(admission: AdmissionState) -> float:
     """Return the expected time between two starts while the queue is not empty."""
-    return admission["mean_latency_s"] / max(1, limit_of(admission["limiter"]))
+    limit = limit_of(admission["limiter"])
+    if admission["nested_limits"]:
+        # Services deeper in the chain, not the slots here, decide how many calls are in flight.
+        limit = min(limit, len(admission["in_flight"]))
+    return admission["mean_latency_s"] / max(1, limit)
 
 
 def drain_time_s(admission: AdmissionState) -> float:
@@ -148,13 +164,23 @@
     """Return the queued call to start now, or None when there is none or no room."""
     if not has_room(admission) or not admission["queue"]:
         return None
-    first: QueuedCall = admission["queue"][0]
-    return first
+    queued: QueuedCall
+    for queued in admission["queue"]:
+        if not exceeds_nested_limit(admission, queued.head, now):
+            return queued
+    return None
 
 
 def is_expired(admission: AdmissionState, queued: QueuedCall, now: float) -> bool:
-    """Tell whether a queued call must be dropped instead of started."""
-    return drops_expired(admission) and now >= queued.head.deadline
+    """Tell whether a queued call must be dropped instead of started.
+
+    A call that would probably end after its deadline would run for nothing. With no call in flight
+    it is started all the same, since only a finished call can show that the target is fast again.
+    """
+    if not drops_expired(admission):
+        return False
+    needed_s = admission["mean_latency_s"] if admission["in_flight"] else 0.0
+    return now + needed_s >= queued.head.deadline
 
 
 def is_idle(admission: AdmissionState) -> bool:
--- a/src/jacinthsail/internal/queries/initial.py
+++ b/src/jacinthsail/internal/queries/initial.py
@@ -110,6 +110,8 @@
         "window_start": now,
         "window_min_wait_s": 0.0,
         "mean_latency_s": 0.0,
+        "nested_limits": {},
+        "nested_refused": set(),
         "next_ticket": 1,
         "draining": False,
     }
