Move the limiter comparison to the testing package; scan the queue faster

The documents name the comparison as a command, so it lives beside the other measurements, typed, with the fake target and the admission events that it is built on.

--- a/src/jacinthsail/internal/adapters/gate.py
+++ b/src/jacinthsail/internal/adapters/gate.py
@@ -60,13 +60,12 @@
         if needs_no_place:
             start_call(self.admission, queued, now)
             return Entry(queued, None)
-        return await self._wait(queued, now)
+        return await self._wait(queued)
 
-    async def _wait(self, queued: QueuedCall, now: float) -> Entry:
+    async def _wait(self, queued: QueuedCall) -> Entry:
         loop = asyncio.get_running_loop()
         waiter: Waiter = loop.create_future()
         self.waiters[queued.ticket] = waiter
-        self.start_waiting(now)
         expiry = None
         if drops_expired(self.admission):
             expiry = loop.call_at(queued.head.deadline, self._expire, queued)
--- a/src/jacinthsail/internal/queries/admission.py
+++ b/src/jacinthsail/internal/queries/admission.py
@@ -11,7 +11,7 @@
 from jacinthsail.internal.model.calls import CallHead, Reason
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.limits import limit_of
-from jacinthsail.internal.queries.nested import exceeds_nested_limit
+from jacinthsail.internal.queries.nested import exceeds_nested_limit, full_nested_keys
 from jacinthsail.internal.queries.rank import MAX_IMPORTANCE, RANKS_PER_IMPORTANCE
 
 # How long a refused caller is asked to wait before it tries again.
@@ -165,8 +165,11 @@
     if not has_room(admission) or not admission["queue"]:
         return None
     queued: QueuedCall
+    full = full_nested_keys(admission, now)
     for queued in admission["queue"]:
-        if not exceeds_nested_limit(admission, queued.head, now):
+        # A plain tuple is equal to the key and is made in a third of the time.
+        head = queued.head
+        if (head.service, head.call_class, head.rank // RANKS_PER_IMPORTANCE) not in full:
             return queued
     return None
 
--- a/src/jacinthsail/internal/queries/nested.py
+++ b/src/jacinthsail/internal/queries/nested.py
@@ -82,8 +82,17 @@
     if not admission["nested_limits"]:
         return False
     nested = admission["nested_limits"].get(nested_key(head))
-    if nested is None:
-        return False
+    return nested is not None and is_full(nested, now)
+
+
+def full_nested_keys(admission: AdmissionState, now: float) -> list[NestedKey]:
+    """Return the keys of which no further call may start."""
+    limits = admission["nested_limits"].items()
+    return [key for key, nested in limits if is_full(nested, now)]
+
+
+def is_full(nested: NestedLimit, now: float) -> bool:
+    """Tell whether a limit lets no further call start."""
     if nested.limit >= 1:
         return nested.in_flight >= int(nested.limit)
     return nested.in_flight > 0 or now - nested.refused_at < PROBE_INTERVAL_S
--- a/tests/common/admission_events.py
+++ b/src/jacinthsail/testing/admission_events.py
@@ -11,14 +11,17 @@
     start_call,
 )
 from jacinthsail.internal.model.admission import (
+    AdmissionDecision,
     AdmissionState,
     Admit,
     AdmitByEviction,
     FixedLimit,
     QueuedCall,
     Refuse,
+    Sample,
 )
 from jacinthsail.internal.model.calls import CallHead, Reason
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.admission import (
     decide_admission,
     is_expired,
@@ -44,7 +47,9 @@
     refused: list[RefusedCall]
 
 
-def new_run(limit=2, queue_length=4, disabled=frozenset()):
+def new_run(
+    limit: int = 2, queue_length: int = 4, disabled: frozenset[Mechanism] = frozenset()
+) -> Run:
     """Return a run in front of a target with a fixed limit."""
     admission = initial_admission(0.0, disabled)
     admission["limiter"] = FixedLimit(limit)
@@ -52,17 +57,17 @@
     return Run(admission=admission, started=[], refused=[])
 
 
-def waiting_heads(run):
+def waiting_heads(run: Run) -> tuple[CallHead, ...]:
     """Return the heads of the calls that wait, in the order of the queue."""
     return tuple(queued.head for queued in run["admission"]["queue"])
 
 
-def refuse(run, head, reason):
+def refuse(run: Run, head: CallHead, reason: Reason) -> None:
     """Record that a call was not run."""
     run["refused"].append(RefusedCall(head, reason, waiting_heads(run)))
 
 
-def arrive(run, head, now):
+def arrive(run: Run, head: CallHead, now: float) -> AdmissionDecision:
     """Decide on an arriving call; return the decision."""
     admission = run["admission"]
     observe_queue(admission, now)
@@ -72,13 +77,13 @@
 
 
 @singledispatch
-def apply(decision, run, head, now):
+def apply(decision: object, run: Run, head: CallHead, now: float) -> None:
     """Do what was decided about an arriving call."""
     raise NotImplementedError(f"no rule for {type(decision).__name__}; register one")
 
 
 @apply.register
-def _(decision: Admit, run, head, now):
+def _(decision: Admit, run: Run, head: CallHead, now: float) -> None:
     admission = run["admission"]
     queued = QueuedCall(admission["next_ticket"], head, now)
     needs_no_place = may_start(admission, head, now)
@@ -89,7 +94,7 @@
 
 
 @apply.register
-def _(decision: AdmitByEviction, run, head, now):
+def _(decision: AdmitByEviction, run: Run, head: CallHead, now: float) -> None:
     admission = run["admission"]
     remove_queued(admission, decision.victim)
     refuse(run, decision.victim.head, Reason.EVICTED)
@@ -97,11 +102,11 @@
 
 
 @apply.register
-def _(decision: Refuse, run, head, now):
+def _(decision: Refuse, run: Run, head: CallHead, now: float) -> None:
     refuse(run, head, decision.reason)
 
 
-def start_waiting(run, now):
+def start_waiting(run: Run, now: float) -> None:
     """Start queued calls while there is room."""
     admission = run["admission"]
     while True:
@@ -116,7 +121,7 @@
         run["started"].append(queued)
 
 
-def finish(run, queued, sample, now):
+def finish(run: Run, queued: QueuedCall, sample: Sample | None, now: float) -> None:
     """Finish a call and start those that fit now."""
     finish_call(run["admission"], queued, sample, now)
     start_waiting(run, now)
--- a/tests/common/fake_target.py
+++ b/src/jacinthsail/testing/fake_target.py
@@ -7,17 +7,22 @@
 from typing import NamedTuple
 
 from jacinthsail.internal.commands.admission import apply_service_policy
-from jacinthsail.internal.model.admission import Sample
-from jacinthsail.internal.model.document import ServicePolicy
+from jacinthsail.internal.model.admission import QueuedCall, Sample
+from jacinthsail.internal.model.calls import CallHead
+from jacinthsail.internal.model.document import LimitPolicy, ServicePolicy
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.limits import limit_of
-from jacinthsail.internal.queries.rank import RANKS_PER_IMPORTANCE
-from tests.common.admission_events import arrive, finish, new_run
-from tests.common.checking import call_head
+from jacinthsail.internal.queries.rank import RANKS_PER_IMPORTANCE, rank_of
+from jacinthsail.testing.admission_events import arrive, finish, new_run
 
 ARRIVAL = "arrival"
 DONE = "done"
 
 
+# Time, order, kind, and for the end of a call the call and when it was sent.
+Event = tuple[float, int, str, QueuedCall | None, float]
+
+
 class Phase(NamedTuple):
     """How the target behaves and how much is asked of it for a while."""
 
@@ -43,42 +48,56 @@
     last_limit: int
     highest_threshold: int
     last_threshold: int
-    asked: Counter
-    answered: Counter
-    lost: Counter
+    asked: Counter[int]
+    answered: Counter[int]
+    lost: Counter[int]
 
 
 class FakeTarget:
     """Serves calls in order of arrival with a fixed number of slots and an endless queue."""
 
-    def __init__(self, policy, seed, importances=(3,), disabled=frozenset()):
+    def __init__(
+        self,
+        policy: ServicePolicy,
+        seed: int,
+        importances: tuple[int, ...] = (3,),
+        disabled: frozenset[Mechanism] = frozenset(),
+    ) -> None:
         self.random = Random(seed)
         self.run = new_run(disabled=disabled)
         self.importances = importances
         apply_service_policy(self.run["admission"], policy, 0.0)
-        self.events = []
+        self.events: list[Event] = []
         self.order = count()
         self.busy = 0
-        self.backlog = []
+        self.backlog: list[tuple[QueuedCall, float]] = []
         self.seen_starts = 0
         self.now = 0.0
 
-    def schedule(self, at, kind, queued=None, sent_at=0.0):
+    def schedule(
+        self, at: float, kind: str, queued: QueuedCall | None = None, sent_at: float = 0.0
+    ) -> None:
+        """Add an event."""
         heappush(self.events, (at, next(self.order), kind, queued, sent_at))
 
-    def play(self, phase, deadline_s):
+    def play(self, phase: Phase, deadline_s: float) -> PhaseResult:
         """Run one phase and return its result."""
         ends = self.now + phase.duration_s
         self.schedule(self.now, ARRIVAL)
-        useful, wasted, latencies, limits, thresholds = 0, 0, [], [], []
-        asked, answered, lost = Counter(), Counter(), Counter()
+        useful, wasted = 0, 0
+        latencies: list[float] = []
+        limits: list[int] = []
+        thresholds: list[int] = []
+        asked: Counter[int] = Counter()
+        answered: Counter[int] = Counter()
+        lost: Counter[int] = Counter()
         refused_before = len(self.run["refused"])
         while self.events and self.events[0][0] < ends:
             self.now, _, kind, queued, sent_at = heappop(self.events)
-            if kind == ARRIVAL:
+            if kind == ARRIVAL or queued is None:
                 importance = self.random.choice(self.importances)
                 asked[importance] += 1
-                head = call_head(f"r{next(self.order)}", importance, deadline=self.now + deadline_s)
+                head = self.head(importance, deadline_s)
                 arrive(self.run, head, self.now)
                 self.schedule(self.now + self.random.expovariate(phase.calls_per_s), ARRIVAL)
             else:
@@ -113,20 +132,30 @@
             lost=lost,
         )
 
-    def finish(self, queued, in_time, sent_at):
+    def head(self, importance: int, deadline_s: float) -> CallHead:
+        """Return the head of a call that arrives now."""
+        request_id = f"r{next(self.order)}"
+        rank = rank_of(importance, request_id)
+        deadline = self.now + deadline_s
+        return CallHead(request_id, "drafts", "view", "member-1", rank, 0, deadline, 2)
+
+    def finish(self, queued: QueuedCall, in_time: bool, sent_at: float) -> None:
+        """Tell the admission state of a call that has ended."""
         self.busy -= 1
         in_flight = len(self.run["admission"]["in_flight"])
         late = not in_time
         sample = Sample(self.now - sent_at, in_flight, overloaded=late, timed_out=late)
         finish(self.run, queued, sample, self.now)
 
-    def take_started(self):
+    def take_started(self) -> None:
+        """Let the calls that admission has started wait for a slot."""
         started = self.run["started"]
         for queued in started[self.seen_starts :]:
             self.backlog.append((queued, self.now))
         self.seen_starts = len(started)
 
-    def fill_slots(self, phase):
+    def fill_slots(self, phase: Phase) -> None:
+        """Start calls in free slots."""
         while self.backlog and self.busy < phase.slots:
             queued, sent_at = self.backlog.pop(0)
             self.busy += 1
@@ -134,6 +163,6 @@
             self.schedule(self.now + service_s, DONE, queued, sent_at)
 
 
-def service_policy_with(limit, queue_length=320):
+def service_policy_with(limit: LimitPolicy, queue_length: int = 320) -> ServicePolicy:
     """Return a service policy with a limit policy."""
     return ServicePolicy("drafts", 80, 560, queue_length, limit, {})
--- a/tests/common/compare_limiters.py
+++ b/src/jacinthsail/testing/measure_limiters.py
@@ -1,16 +1,15 @@
-"""Prints the figures of fixed, AIMD and gradient limiters on the same load.
-
-PYTHONPATH=src:. .venv/bin/python -m tests.common.compare_limiters
-"""
+"""Prints the figures of fixed, AIMD and gradient limiters on the same load in virtual time."""
 
 import sys
+from collections.abc import Iterator
 
 from jacinthsail.internal.model.document import (
     AimdLimitPolicy,
     FixedLimitPolicy,
     GradientLimitPolicy,
+    LimitPolicy,
 )
-from tests.common.fake_target import FakeTarget, Phase, service_policy_with
+from jacinthsail.testing.fake_target import FakeTarget, Phase, PhaseResult, service_policy_with
 
 SEED = 20
 
@@ -19,7 +18,7 @@
 # Calls time out at the target after this time, whatever they waited for.
 DEADLINE_S = 1.0
 
-POLICIES = {
+POLICIES: dict[str, LimitPolicy] = {
     "fixed": FixedLimitPolicy(SLOTS),
     "aimd": AimdLimitPolicy(SLOTS // 4, 1, SLOTS),
     "gradient": GradientLimitPolicy(SLOTS // 4, 1, SLOTS),
@@ -37,7 +36,7 @@
 )
 
 
-def compare(seed=SEED):
+def compare(seed: int = SEED) -> dict[str, dict[str, PhaseResult]]:
     """Return the results of each kind of limiter, phase by phase."""
     results = {}
     for kind, policy in POLICIES.items():
@@ -46,7 +45,7 @@
     return results
 
 
-def lines(results):
+def lines(results: dict[str, dict[str, PhaseResult]]) -> Iterator[str]:
     """Return the figures as lines of a Markdown table."""
     yield "| limiter | phase | useful | wasted | mean latency | lowest limit | last limit |"
     yield "| --- | --- | --- | --- | --- | --- | --- |"
--- a/tests/fast/test_admission.py
+++ b/tests/fast/test_admission.py
@@ -15,9 +15,15 @@
     decide_admission,
     expected_wait_s,
 )
-from tests.common.admission_events import arrive, finish, new_run, start_waiting, waiting_heads
+from jacinthsail.testing.admission_events import (
+    arrive,
+    finish,
+    new_run,
+    start_waiting,
+    waiting_heads,
+)
+from jacinthsail.testing.fake_target import FakeTarget, Phase, service_policy_with
 from tests.common.checking import call_head
-from tests.common.fake_target import FakeTarget, Phase, service_policy_with
 
 REPEATABLE = settings(derandomize=True, print_blob=True, deadline=None, max_examples=150)
 FOR_WANT_OF_ROOM = frozenset({Reason.BELOW_THRESHOLD, Reason.QUEUE_FULL, Reason.EVICTED})
--- a/tests/fast/test_early_refusal.py
+++ b/tests/fast/test_early_refusal.py
@@ -20,8 +20,8 @@
 from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
 from jacinthsail.internal.queries.initial import initial_state
 from jacinthsail.internal.queries.routing import THRESHOLD_VALID_S, decide_route
+from jacinthsail.testing.fake_target import service_policy_with
 from tests.common.checking import call_head
-from tests.common.fake_target import service_policy_with
 
 NOWHERE = Endpoint("127.0.0.1", 1)
 PEERS = ("drafts-1", "drafts-2")
--- a/tests/fast/test_limiters_compared.py
+++ b/tests/fast/test_limiters_compared.py
@@ -3,8 +3,8 @@
 import unittest
 
 from jacinthsail.internal.model.document import GradientLimitPolicy
-from tests.common.compare_limiters import SLOTS, compare
-from tests.common.fake_target import FakeTarget, Phase, service_policy_with
+from jacinthsail.testing.fake_target import FakeTarget, Phase, service_policy_with
+from jacinthsail.testing.measure_limiters import SLOTS, compare
 
 ADAPTIVE = ("aimd", "gradient")
 
--- a/tests/fast/test_limits.py
+++ b/tests/fast/test_limits.py
@@ -16,7 +16,7 @@
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.initial import initial_admission
 from jacinthsail.internal.queries.limits import limit_of, limiter_after, new_limiter, sample_of
-from tests.common.fake_target import service_policy_with
+from jacinthsail.testing.fake_target import service_policy_with
 
 POLICIES = (AimdLimitPolicy(20, 2, 80), GradientLimitPolicy(20, 2, 80))
 REPEATABLE = settings(derandomize=True, print_blob=True, deadline=None, max_examples=100)
--- a/tests/fast/test_nested.py
+++ b/tests/fast/test_nested.py
@@ -13,7 +13,7 @@
     nested_key,
     parents_of,
 )
-from tests.common.admission_events import arrive, finish, new_run, start_waiting
+from jacinthsail.testing.admission_events import arrive, finish, new_run, start_waiting
 from tests.common.checking import call_head
 
 
--- a/tests/fast/test_nested_retries.py
+++ b/tests/fast/test_nested_retries.py
@@ -9,8 +9,8 @@
 from jacinthsail.internal.commands.admission import apply_service_policy
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason
 from jacinthsail.internal.model.document import FixedLimitPolicy
+from jacinthsail.testing.fake_target import service_policy_with
 from tests.common.checking import call_head
-from tests.common.fake_target import service_policy_with
 from tests.fast.test_early_refusal import entry_state
 
 
