--- a/src/jacinthsail/internal/adapters/gate.py
+++ b/src/jacinthsail/internal/adapters/gate.py
@@ -25,8 +25,8 @@
     decide_admission,
     drops_expired,
     is_expired,
+    may_start,
     next_to_start,
-    starts_at_once,
 )
 from jacinthsail.internal.queries.lookup import is_same_call
 
@@ -55,7 +55,7 @@
         if refusal is not None:
             return Entry(None, refusal._replace(retries_left=head.retries_left))
         queued = QueuedCall(self.admission["next_ticket"], head, now)
-        needs_no_place = starts_at_once(self.admission)
+        needs_no_place = may_start(self.admission, head, now)
         enqueue_call(self.admission, queued)
         if needs_no_place:
             start_call(self.admission, queued, now)
--- a/tests/slow/test_scenarios.py
+++ b/tests/slow/test_scenarios.py
@@ -29,6 +29,10 @@
     "pause_confirmed",
     "new_vm_stale",
     "regions_parted",
+    "recovery",
+    "retry_bound",
+    "shedding_order",
+    "wasted_work",
 )
 
 
