--- a/src/jacinthsail/internal/queries/admission.py
+++ b/src/jacinthsail/internal/queries/admission.py
@@ -23,10 +23,6 @@
 # With few slots one waiting call already takes longer than that to start.
 TARGET_WAIT_PER_LATENCY = 0.5
 
-# Among calls of one importance the lowest ranks wait longest at every service behind, so the mean
-# latency is too short for them; they would expire deep in the chain.
-LATENCY_MARGIN = 2.0
-
 # Long enough that a burst is not taken for a standing queue, short enough that the threshold falls
 # from the highest value to 0 in 1.4 s, within the 2 s allowed for recovery.
 THRESHOLD_WINDOW_S = 0.1
@@ -61,7 +57,7 @@
         return Refuse(Reason.DEADLINE_EXPIRED, 0.0)
     if may_start(admission, head, now):
         return Admit()
-    needed_s = expected_wait_s(admission, head) + service_time_s(admission)
+    needed_s = expected_wait_s(admission, head) + admission["mean_latency_s"]
     if drops_expired(admission) and now + needed_s >= head.deadline:
         return Refuse(Reason.DEADLINE_TOO_SHORT, RETRY_AFTER_S)
     if is_below_threshold(admission, head):
@@ -133,11 +129,6 @@
     return admission["mean_latency_s"] / max(1, limit)
 
 
-def service_time_s(admission: AdmissionState) -> float:
-    """Return the time at the target that a call must have left before its deadline."""
-    return LATENCY_MARGIN * admission["mean_latency_s"]
-
-
 def drain_time_s(admission: AdmissionState) -> float:
     """Return how long the calls that wait now take to start.
 
@@ -191,7 +182,7 @@
     """
     if not drops_expired(admission):
         return False
-    needed_s = service_time_s(admission) if admission["in_flight"] else 0.0
+    needed_s = admission["mean_latency_s"] if admission["in_flight"] else 0.0
     return now + needed_s >= queued.head.deadline
 
 
