Call a keyed call unknown while a new node compares its copies

Cause: a node that had just started told a call with an idempotency key 'not-run', though an earlier call with the key may have run at the process before it.

Change: such a call is unknown at the node that takes it, and the home of a key decides by the key also while it starts.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -58,7 +58,7 @@
 )
 from jacinthsail.internal.queries.limits import is_overload, sample_of
 from jacinthsail.internal.queries.lookup import class_policy, reason_without_policy
-from jacinthsail.internal.queries.replication import awaits_peers
+from jacinthsail.internal.queries.replication import awaits_peers, outcome_before_start
 from jacinthsail.internal.queries.retries import allowance_of, decide_retry
 from jacinthsail.internal.queries.routing import decide_route, vm_of
 
@@ -85,8 +85,7 @@
         """Serve a call from a caller or from the own target, which gets a key if it needs one."""
         head = call.head
         if awaits_peers(self.node_state, self.loop.time()):
-            refused = NotRun(Reason.NOT_READY, head.retries_left, RETRY_AFTER_S)
-            return KeyedOutcome(refused, head.idempotency_key)
+            return KeyedOutcome(outcome_before_start(head), head.idempotency_key)
         if class_policy(self.node_state["store"], head.service, head.call_class) is None:
             reason = reason_without_policy(self.node_state["store"])
             return KeyedOutcome(NotRun(reason, 0), head.idempotency_key)
--- a/src/jacinthsail/internal/adapters/relay.py
+++ b/src/jacinthsail/internal/adapters/relay.py
@@ -39,7 +39,7 @@
 )
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
-from jacinthsail.internal.queries.admission import RETRY_AFTER_S, advertised_threshold
+from jacinthsail.internal.queries.admission import advertised_threshold
 from jacinthsail.internal.queries.lookup import distance_of, is_at_most_once, is_same_call
 from jacinthsail.internal.queries.membership import may_cross_region
 from jacinthsail.internal.queries.peers import (
@@ -48,7 +48,11 @@
     decide_connection,
     suspicion_s,
 )
-from jacinthsail.internal.queries.replication import awaits_peers, heartbeat_of
+from jacinthsail.internal.queries.replication import (
+    awaits_peers,
+    heartbeat_of,
+    outcome_before_start,
+)
 
 # A connection opens in about 1 ms within a region and 24 ms across.
 CONNECT_TIMEOUT_S = 1.0
@@ -370,11 +374,15 @@
         if call.head.service != self.node_state["settings"].service:
             # The sender's list is old and this address now belongs to another service.
             return NotRun(Reason.NO_TARGET, call.head.retries_left)
-        if awaits_peers(self.node_state, asyncio.get_running_loop().time()):
-            return NotRun(Reason.NOT_READY, call.head.retries_left, RETRY_AFTER_S)
+        # The home of a key decides by what it knows of the key, also when it has just started.
+        if not call.head.idempotency_key and self._awaits_peers():
+            return outcome_before_start(call.head)
         assert self.serve_own is not None
         return await self.serve_own(call)
 
+    def _awaits_peers(self) -> bool:
+        return awaits_peers(self.node_state, asyncio.get_running_loop().time())
+
 
 @singledispatch
 def apply_connection_decision(
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from jacinthsail.errors import ConfigurationError
+from jacinthsail.internal.model.calls import CallHead, NotRun, Reason, Unknown
 from jacinthsail.internal.model.messages import Ask, Heartbeat, Offer
 from jacinthsail.internal.model.replication import (
     AwaitPeers,
@@ -68,6 +69,9 @@
 # platform may have answered from an older state. A VM that is cut off from them serves after that.
 START_WAIT_S = 5.0
 
+# A node whose peers answer is ready within this time.
+START_RETRY_AFTER_S = 1.0
+
 # The digest of a store without any item.
 EMPTY_DIGEST = xxhash.xxh3_64_intdigest(b"")
 
@@ -380,6 +384,16 @@
     return not has_compared_with_peers(state)
 
 
+def outcome_before_start(head: CallHead) -> NotRun | Unknown:
+    """Return the outcome of a call that arrives while this node compares its copies.
+
+    The call is not run, but an earlier one with the same key may have been.
+    """
+    if head.idempotency_key:
+        return Unknown(Reason.NOT_READY, head.retries_left)
+    return NotRun(Reason.NOT_READY, head.retries_left, START_RETRY_AFTER_S)
+
+
 def has_compared_with_peers(state: NodeState) -> bool:
     """Tell whether every gossip peer that can be reached has answered, and one at least has.
 
--- a/tests/fast/test_replication.py
+++ b/tests/fast/test_replication.py
@@ -17,7 +17,7 @@
     record_read_after_pause,
     settle_start,
 )
-from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.messages import Heartbeat, Offer
 from jacinthsail.internal.model.replication import (
     DigestMatch,
@@ -47,10 +47,12 @@
     is_caught_up,
     is_stale,
     names_to_read,
+    outcome_before_start,
     reasons_not_ready,
     version_in_force,
 )
 from jacinthsail.internal.queries.status import node_status, section_conflicts
+from tests.common.checking import call_head
 from tests.common.replicas import (
     adopt,
     broken_item,
@@ -453,6 +455,11 @@
         self.assertTrue(awaits_peers(cut_off, START_WAIT_S - 0.1))
         self.assertFalse(awaits_peers(cut_off, START_WAIT_S))
 
+    def test_key_is_not_called_not_run_before_the_start(self):
+        """An earlier call with the key may have run before this node's process was replaced."""
+        self.assertIsInstance(outcome_before_start(call_head(idempotency_key="key")), Unknown)
+        self.assertIsInstance(outcome_before_start(call_head(idempotency_key="")), NotRun)
+
     def test_node_that_has_settled_does_not_wait_for_new_peers(self):
         """A change of the VM list must not make a node that serves refuse calls."""
         state = new_vm_with_peers("vm-1")
