--- a/src/jacinthsail/internal/queries/idempotency.py
+++ b/src/jacinthsail/internal/queries/idempotency.py
@@ -7,7 +7,15 @@
 from returns.result import Failure, Result, Success
 
 from jacinthsail.errors import MalformedMessage
-from jacinthsail.internal.model.calls import Call, CallHead, NotRun, Outcome, Reason, Unknown
+from jacinthsail.internal.model.calls import (
+    Answered,
+    Call,
+    CallHead,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 from jacinthsail.internal.model.document import Execution
 from jacinthsail.internal.model.idempotency import (
     PLACEMENT_RULES,
@@ -16,6 +24,7 @@
     IssuedKey,
     KeyDecision,
     KeyUnknown,
+    LedgerEntry,
     LedgerState,
     PlacementRules,
     RefuseKey,
@@ -26,7 +35,7 @@
     Undetermined,
     Waiting,
 )
-from jacinthsail.internal.model.routing import Refused
+from jacinthsail.internal.model.routing import Refused, ToPeer
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.lookup import class_policy, service_policy
@@ -214,41 +223,44 @@
     return RunKey()
 
 
-@singledispatch
-def _decide_known(entry: object, fingerprint: str) -> KeyDecision:
-    raise NotImplementedError(f"no rule for {type(entry).__name__}; register one")
-
-
-@_decide_known.register
-def _(entry: Waiting, fingerprint: str) -> KeyDecision:
+def _decide_known(entry: LedgerEntry, fingerprint: str) -> KeyDecision:
     if entry.fingerprint != fingerprint:
         return RefuseKey(Reason.KEY_REUSED)
-    return KeyUnknown(Reason.KEY_RUNNING)
+    return _decide_repeated(entry)
 
 
-@_decide_known.register
-def _(entry: Running, fingerprint: str) -> KeyDecision:
-    if entry.fingerprint != fingerprint:
-        return RefuseKey(Reason.KEY_REUSED)
+@singledispatch
+def _decide_repeated(entry: object) -> KeyDecision:
+    raise NotImplementedError(f"no rule for {type(entry).__name__}; register one")
+
+
+@_decide_repeated.register
+def _(entry: Waiting | Running) -> KeyDecision:
     return KeyUnknown(Reason.KEY_RUNNING)
 
 
-@_decide_known.register
-def _(entry: Finished, fingerprint: str) -> KeyDecision:
-    if entry.fingerprint != fingerprint:
-        return RefuseKey(Reason.KEY_REUSED)
+@_decide_repeated.register
+def _(entry: Finished) -> KeyDecision:
     return ReplayAnswer(entry.answer)
 
 
-@_decide_known.register
-def _(entry: Undetermined, fingerprint: str) -> KeyDecision:
-    if entry.fingerprint != fingerprint:
-        return RefuseKey(Reason.KEY_REUSED)
+@_decide_repeated.register
+def _(entry: Undetermined) -> KeyDecision:
     return KeyUnknown(entry.reason)
 
 
-# The entry node gives these reasons itself, without an answer from the key's home.
-UNPROVEN_REASONS = frozenset({Reason.PEER_UNREACHABLE})
+# A relayed call can end with these reasons before it reaches the home, or at a node that is not the
+# home. A home gives the expired deadline too, but the reason does not tell which node gave it.
+UNPROVEN_REASONS = frozenset(
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.PEER_SILENT,
+        Reason.CONNECTION_LOST,
+        Reason.LINK_BUDGET_SPENT,
+        Reason.DEADLINE_EXPIRED,
+        Reason.NO_TARGET,
+    }
+)
 
 
 @singledispatch
@@ -258,24 +270,33 @@
     Only the home can tell that no earlier call with the key ran. A call that never got there was
     not run, but the key may have been, so the outcome is unknown.
     """
-    assert isinstance(outcome, tuple)
-    return outcome  # type: ignore[return-value]
+    raise NotImplementedError(f"no rule for {type(outcome).__name__}; register one")
+
+
+@outcome_for_given_key.register
+def _(outcome: Answered | Unknown, route: object) -> Outcome:
+    return outcome
 
 
 @outcome_for_given_key.register
 def _(outcome: NotRun, route: object) -> Outcome:
     if outcome.reason is Reason.KEY_MALFORMED:
         return outcome
-    if outcome.reason in UNPROVEN_REASONS or _is_refused(route):
+    if _is_unproven(route, outcome.reason):
         return Unknown(outcome.reason, outcome.retries_left)
     return outcome
 
 
 @singledispatch
-def _is_refused(route: object) -> bool:
+def _is_unproven(route: object, reason: Reason) -> bool:
     return False
 
 
-@_is_refused.register
-def _(route: Refused) -> bool:
+@_is_unproven.register
+def _(route: Refused, reason: Reason) -> bool:
     return True
+
+
+@_is_unproven.register
+def _(route: ToPeer, reason: Reason) -> bool:
+    return reason in UNPROVEN_REASONS
--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -15,9 +15,12 @@
 from email.message import Message
 from pathlib import Path
 from types import TracebackType
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 HOST = "127.0.0.1"
+
+# Targets have an address of their own, by which their nodes tell their calls from those of callers.
+TARGET_HOST = "127.0.0.2"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 
@@ -110,6 +113,7 @@
         settings_of_vm: Mapping[str, str] | None = None,
         behaviour: Mapping[str, object] | None = None,
         has_links: bool = False,
+        platform_behind_s: float = 0.0,
     ) -> None:
         self.vms = {vm.vm: vm for vm in vms}
         self.sections = sections
@@ -117,6 +121,7 @@
         self.settings_of_vm = settings_of_vm or {}
         self.behaviour = behaviour or {}
         self.has_links = has_links
+        self.platform_behind_s = platform_behind_s
         self.folder = tempfile.TemporaryDirectory(prefix="jacinthsail-mesh-")
         width = len(Ports._fields)
         self.platform_port, *ports = free_ports(1 + width * len(vms))
@@ -126,6 +131,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.listed_at_ms: dict[str, int] = {}
         self.leaving_at_ms: dict[str, int] = {}
+        self.removed: set[str] = set()
 
     def __enter__(self) -> "Mesh":
         try:
@@ -159,7 +165,8 @@
         self.folder.cleanup()
 
     def _start_platform(self) -> None:
-        self._start_standin(PLATFORM, "platform", ["--port", str(self.platform_port)])
+        arguments = [f"--port={self.platform_port}", f"--behind_s={self.platform_behind_s}"]
+        self._start_standin(PLATFORM, "platform", arguments)
         _wait_for(f"http://{HOST}:{self.platform_port}/v1/items")
 
     def _start_standin(self, name: str, role: str, arguments: list[str]) -> None:
@@ -233,7 +240,8 @@
             "platform": ports.platform_link if self.has_links else self.platform_port,
         }
         for name, port in endpoints.items():
-            lines += [f"[{name}]", f'host = "{HOST}"', f"port = {port}"]
+            host = TARGET_HOST if name == "target" else HOST
+            lines += [f"[{name}]", f'host = "{host}"', f"port = {port}"]
         own_settings = self.settings_of_vm.get(vm, "")
         return "\n".join([*lines, self.node_settings, own_settings, ""])
 
@@ -253,28 +261,45 @@
         """Return the path of a target's record of executions."""
         return Path(self.folder.name) / f"{vm}.executions"
 
-    def publish(self, name: str, body: bytes) -> None:
-        """Publish an item on the platform."""
+    def publish(self, name: str, body: bytes) -> int:
+        """Publish an item on the platform and return its version."""
         url = f"http://{HOST}:{self.platform_port}/v1/items/{name}"
         request = urllib.request.Request(url, data=body, method="PUT")
-        with urllib.request.urlopen(request):
-            pass
+        with urllib.request.urlopen(request) as response:
+            version: int = json.load(response)["version"]
+            return version
 
-    def publish_vm_lists(self, leaving: frozenset[str] = frozenset()) -> None:
+    def publish_vm_lists(
+        self, leaving: frozenset[str] = frozenset(), listed_ago_ms: int = LISTED_AGO_MS
+    ) -> None:
         """Publish the VM list of each failure domain; a VM that leaves goes on leaving."""
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = time.time_ns() // 1_000_000 - int(self.platform_behind_s * 1000)
         for vm in self.vms:
-            self.listed_at_ms.setdefault(vm, now_ms - LISTED_AGO_MS)
+            self.listed_at_ms.setdefault(vm, now_ms - listed_ago_ms)
         for vm in leaving:
             self.leaving_at_ms.setdefault(vm, now_ms)
         domains = sorted({vm.failure_domain for vm in self.vms.values()})
         for domain in domains:
-            entries = [
-                self._list_entry(vm) for vm in self.vms.values() if vm.failure_domain == domain
-            ]
+            entries = []
+            for place in self.vms.values():
+                if place.failure_domain == domain and place.vm not in self.removed:
+                    entries.append(self._list_entry(place))
             body = json.dumps({"failure_domain": domain, "vms": entries})
             self.publish(f"vms/{domain}", body.encode())
 
+    def remove_from_lists(self, vms: Sequence[str]) -> None:
+        """Publish the lists without some VMs."""
+        self.removed.update(vms)
+        self.publish_vm_lists()
+
+    def return_to_lists(self, vms: Sequence[str]) -> None:
+        """Publish some VMs that were removed as newly listed."""
+        for vm in vms:
+            self.removed.discard(vm)
+            self.listed_at_ms.pop(vm, None)
+            self.leaving_at_ms.pop(vm, None)
+        self.publish_vm_lists(listed_ago_ms=0)
+
     def _list_entry(self, vm: MeshVm) -> dict[str, object]:
         ports = self.ports[vm.vm]
         entry: dict[str, object] = {
@@ -307,6 +332,23 @@
             f"node {vm} is not ready after {START_TIMEOUT_S} s; it has logged: {self._log_end(vm)}"
         )
 
+    def wait_for_section(self, name: str, version: int) -> None:
+        """Wait until a version of a section is in force on every node."""
+        latest = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < latest:
+            if all(self._section_version(vm, name) == version for vm in self.vms):
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"{name} {version} is not in force after {START_TIMEOUT_S} s")
+
+    def _section_version(self, vm: str, name: str) -> int:
+        status = self.status(vm)
+        if status is None:
+            return 0
+        sections: Any = status["sections"]
+        version: int = sections[name]["version"]
+        return version
+
     def _log_end(self, vm: str) -> str:
         path = self.log_path(vm)
         return path.read_text(encoding="utf-8")[-LOG_END_CHARS:] if path.exists() else ""
--- a/src/jacinthsail/testing/standin.py
+++ b/src/jacinthsail/testing/standin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from jacinthsail.testing.link import LinkStandIn
+from jacinthsail.testing.mesh import HOST, TARGET_HOST
 from jacinthsail.testing.platform import PlatformStandIn
 from jacinthsail.testing.target import TargetStandIn
 from jacinthsail.testing.target_model import default_behaviour
@@ -21,23 +22,25 @@
 _RELAY_PORT = flags.DEFINE_integer("relay_port", 0, "Port on which the link accepts.")
 _TO_PORT = flags.DEFINE_integer("to_port", 0, "Port to which the link relays.")
 
+_BEHIND_S = flags.DEFINE_float("behind_s", 0.0, "How far the platform's clock is behind, in s.")
+
 
 async def _application() -> web.Application:
     if _ROLE.value == "platform":
-        return PlatformStandIn().application()
+        return PlatformStandIn(_BEHIND_S.value or 0.0).application()
     if _ROLE.value == "link":
         return LinkStandIn(_RELAY_PORT.value or 0, _TO_PORT.value or 0).application()
     behaviour = default_behaviour(_DELAY_MS.value)
     behaviour.update(json.loads(_BEHAVIOUR.value))
     record = Path(_RECORD.value) if _RECORD.value else None
-    return TargetStandIn(_NAME.value, _NODE_URL.value, behaviour, record).application()
+    return TargetStandIn(_NAME.value, _NODE_URL.value, behaviour, record, TARGET_HOST).application()
 
 
 def run(_argv: list[str]) -> None:
     """Run the stand-in until it is told to stop."""
     web.run_app(
         _application(),
-        host="127.0.0.1",
+        host=[HOST, TARGET_HOST],
         port=_PORT.value,
         print=None,
         access_log=None,
--- a/tests/common/loopback.py
+++ b/tests/common/loopback.py
@@ -48,7 +48,7 @@
     state = initial_state(settings, f"incarnation-of-{settings.vm}", now, 0)
     settle_start(state["gossip"])
     for version, name in enumerate(("drafts", "billing"), start=1):
-        body = (SAMPLES / f"stenonet-{name}.toml").read_bytes()
+        body = (SAMPLES / "stenonet" / f"{name}.toml").read_bytes()
         item = Item(f"section/{name}", version, "digest", body)
         accept_item(state["store"], decide_item(state["store"], item), now)
     return state
--- a/tests/slow/test_scenarios.py
+++ b/tests/slow/test_scenarios.py
@@ -17,6 +17,18 @@
     "pause_confirmed",
     "new_vm_stale",
     "regions_parted",
+    "whole_answers",
+    "not_run_truth",
+    "at_most_once",
+    "timed_keys",
+    "home_killed",
+    "pause",
+    "two_faults",
+    "callers_gone",
+    "no_context",
+    "planned_stop",
+    "leaving_target",
+    "silent_connection",
 )
 
 
