--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -68,6 +68,7 @@
 # platform may have answered from an older state. A VM that is cut off from them serves after that.
 START_WAIT_S = 5.0
 
+
 # The digest of a store without any item.
 EMPTY_DIGEST = xxhash.xxh3_64_intdigest(b"")
 
--- a/src/jacinthsail/testing/measure_replication.py
+++ b/src/jacinthsail/testing/measure_replication.py
@@ -109,12 +109,12 @@
         self, leaving: frozenset[str] = frozenset(), listed_ago_ms: int = LISTED_AGO_MS
     ) -> None:
         """Publish the list of each failure domain, filled up with entries of VMs without a node."""
+        listed_at_ms = time.time_ns() // 1_000_000 - listed_ago_ms
         for domain, region in TARGET_DOMAINS:
-            self.publish(f"vms/{domain}", self.vm_list(domain, region, listed_ago_ms).encode())
+            self.publish(f"vms/{domain}", self.vm_list(domain, region, listed_at_ms).encode())
 
-    def vm_list(self, domain: str, region: str, listed_ago_ms: int) -> str:
+    def vm_list(self, domain: str, region: str, listed_at_ms: int) -> str:
         """Return the text of a VM list of the target size."""
-        listed_at_ms = time.time_ns() // 1_000_000 - listed_ago_ms
         entries = []
         for vm in self.vms.values():
             if vm.failure_domain == domain:
