--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -149,8 +149,21 @@
         for vm in self.vms:
             self.start_vm(vm)
         for vm in self.vms:
+            self._wait_for_stand_ins(vm)
             self.wait_until_ready(vm)
 
+    def _wait_for_stand_ins(self, vm: str) -> None:
+        """Wait until the target and the links of a VM listen; a node can be ready before them."""
+        ports = self.ports[vm]
+        control_ports = {
+            "target": ports.target,
+            "link": ports.link_control,
+            "platform-link": ports.platform_link_control,
+        }
+        for role, port in control_ports.items():
+            if process_name(vm, role) in self.processes:
+                _wait_until_listening(port)
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
@@ -409,6 +422,17 @@
     return [f"--port={control_port}", f"--relay_port={relay_port}", f"--to_port={to_port}"]
 
 
+def _wait_until_listening(port: int) -> None:
+    latest = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < latest:
+        try:
+            with socket.create_connection((HOST, port), timeout=5):
+                return
+        except OSError:
+            time.sleep(0.05)
+    raise TimeoutError(f"nothing listens on port {port} after {START_TIMEOUT_S} s")
+
+
 def _wait_for(url: str) -> None:
     latest = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < latest:
--- a/tests/common/loopback.py
+++ b/tests/common/loopback.py
@@ -11,10 +11,10 @@
 from jacinthsail.internal.model.membership import VmEntry, VmStatus
 from jacinthsail.internal.model.messages import Hello
 from jacinthsail.internal.model.replication import Item
-from jacinthsail.internal.model.settings import Endpoint, NodeSettings
+from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.queries.initial import initial_state
 from jacinthsail.internal.queries.replication import decide_item
-from tests.common.checking import call_head
+from tests.common import checking
 
 HOST = "127.0.0.1"
 SAMPLES = Path(__file__).resolve().parents[2] / "samples"
@@ -30,14 +30,12 @@
     places = {}
     for name in ("callers", "relay", "operators", "target", "platform"):
         places[name] = endpoints.get(name) or free_endpoint()
-    return NodeSettings(
+    return checking.node_settings(
         vm=vm,
         failure_domain="manila",
         region="luzon",
         service=service,
         cross_region_bytes_per_s=1_000_000,
-        ledger_entries=1000,
-        log_buffer_lines=1000,
         disabled=disabled,
         **places,
     )
@@ -77,7 +75,7 @@
 
 def call_due_in(seconds, body=b"body", **head):
     deadline = asyncio.get_running_loop().time() + seconds
-    return Call(call_head(deadline=deadline, **head), "text/plain", body)
+    return Call(checking.call_head(deadline=deadline, **head), "text/plain", body)
 
 
 async def start_server(protocol_factory):
--- a/tests/common/replicas.py
+++ b/tests/common/replicas.py
@@ -5,7 +5,6 @@
 from jacinthsail.internal.commands.replication import accept_item, confirm_versions
 from jacinthsail.internal.model.messages import Ask, Offer
 from jacinthsail.internal.model.replication import Item
-from jacinthsail.internal.model.settings import Endpoint, NodeSettings
 from jacinthsail.internal.queries.documents import digest_of
 from jacinthsail.internal.queries.initial import initial_state
 from jacinthsail.internal.queries.replication import (
@@ -15,29 +14,7 @@
     decide_item,
     versions_held,
 )
-
-ENDPOINT = Endpoint("127.0.0.1", 1)
-
-
-def node_settings(**changes):
-    """Return the settings of a node, with some fields changed."""
-    settings = NodeSettings(
-        vm="vm-0",
-        failure_domain="domain-0",
-        region="region-0",
-        service="drafts",
-        callers=ENDPOINT,
-        relay=ENDPOINT,
-        operators=ENDPOINT,
-        target=ENDPOINT,
-        platform=ENDPOINT,
-        seeds=(),
-        cross_region_bytes_per_s=1000,
-        ledger_entries=100,
-        log_buffer_lines=100,
-        disabled=frozenset(),
-    )
-    return settings._replace(**changes)
+from tests.common.checking import node_settings
 
 
 def node(now=0.0, **changes):
--- a/tests/fast/test_early_refusal.py
+++ b/tests/fast/test_early_refusal.py
@@ -22,32 +22,23 @@
 from jacinthsail.internal.model.messages import Heartbeat, Hello
 from jacinthsail.internal.model.replication import Item, NewSection, NewVmList
 from jacinthsail.internal.model.routing import Refused, ToOwnTarget, ToPeer
-from jacinthsail.internal.model.settings import Endpoint, Mechanism, NodeSettings
+from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.initial import initial_state
 from jacinthsail.internal.queries.routing import THRESHOLD_VALID_S, decide_route
 from jacinthsail.testing.fake_target import service_policy_with
-from tests.common.checking import call_head
+from tests.common.checking import call_head, node_settings
 
-NOWHERE = Endpoint("127.0.0.1", 1)
 PEERS = ("drafts-1", "drafts-2")
 ALL_TRIES = 30
 
 
 def entry_state(disabled=frozenset()):
     """Return the state of a billing node that knows two drafts nodes."""
-    settings = NodeSettings(
+    settings = node_settings(
         vm="billing-1",
         failure_domain="manila",
         region="luzon",
         service="billing",
-        callers=NOWHERE,
-        relay=NOWHERE,
-        operators=NOWHERE,
-        target=NOWHERE,
-        platform=NOWHERE,
-        cross_region_bytes_per_s=1,
-        ledger_entries=1,
-        log_buffer_lines=100,
         disabled=disabled,
     )
     state = initial_state(settings, "i", 0.0, 0)
