Let the measured target listen where its node calls it

Cause: nodes call stand-in targets on 127.0.0.2, so that a target's own calls can be told from those of callers; the target of the latency measurement listened on 127.0.0.1 only and every call was refused.

--- a/src/jacinthsail/testing/measure_latency.py
+++ b/src/jacinthsail/testing/measure_latency.py
@@ -20,7 +20,7 @@
 from absl import app, flags
 from aiohttp import web
 
-from jacinthsail.testing.mesh import HOST, START_TIMEOUT_S, Mesh, MeshVm, process_name
+from jacinthsail.testing.mesh import HOST, START_TIMEOUT_S, TARGET_HOST, Mesh, MeshVm, process_name
 
 _CALLS = flags.DEFINE_integer("calls", 3000, "Calls on each path.")
 _CONCURRENCY = flags.DEFINE_integer("concurrency", 1, "Calls in flight at a time.")
@@ -239,7 +239,7 @@
 
 async def _serve_target(port: int) -> None:
     server = web.Server(_answer, access_log=None)
-    listener = await asyncio.get_running_loop().create_server(server, HOST, port)
+    listener = await asyncio.get_running_loop().create_server(server, (HOST, TARGET_HOST), port)
     await listener.serve_forever()
 
 
