Name one attempt of a call as a value of its own

Cause: the retry rules passed the same three arguments through five functions, and two reasons were never given. Change: an Attempt holds head, policy and number; the two reasons are gone.

--- a/src/jacinthsail/internal/adapters/dispatcher.py
+++ b/src/jacinthsail/internal/adapters/dispatcher.py
@@ -46,6 +46,7 @@
     ReplayAnswer,
     RunKey,
 )
+from jacinthsail.internal.model.retries import Attempt
 from jacinthsail.internal.model.routing import Refused, Route, ToOwnTarget, ToPeer, Unsettled
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.admission import RETRY_AFTER_S
@@ -150,7 +151,7 @@
         retries = self.node_state["retries"]
         tried: frozenset[str] = frozenset()
         earlier: tuple[Outcome, ...] = ()
-        for attempt in count(1):
+        for number in count(1):
             head = call.head._replace(retries_left=allowance_of(retries, call.head.request_id))
             take_allowance(retries, head.request_id)
             route = decide_route(self.node_state, head, tried, self.loop.time(), self.random)
@@ -160,7 +161,9 @@
             return_allowance(retries, head.request_id, outcome.retries_left)
             if not is_overload(outcome):
                 record_success(retries, head, now)
-            decision = decide_retry(outcome, retries, head, policy, attempt, now, self.random)
+            decision = decide_retry(
+                outcome, retries, Attempt(head, policy, number), now, self.random
+            )
             if not decision.again:
                 end_retries(retries, head.request_id, decision)
                 remaining = allowance_of(retries, head.request_id)
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -11,7 +11,6 @@
     RELAY = "relay"
     RELAY_ACROSS_REGIONS = "relay-across-regions"
     TARGET_ANSWERED = "target-answered"
-    UNKNOWN_SERVICE = "unknown-service"
     UNKNOWN_CLASS = "unknown-class"
     NOT_READY = "not-ready"
     NO_TARGET = "no-target"
@@ -41,7 +40,6 @@
     KEY_HOME_GONE = "key-home-gone"
     KEY_HOME_ELSEWHERE = "key-home-elsewhere"
     PLACEMENT_UNCONFIRMED = "placement-unconfirmed"
-    SPILL_OVER_FORBIDDEN = "spill-over-forbidden"
     LINK_BUDGET_SPENT = "link-budget-spent"
     CALLER_GONE = "caller-gone"
 
--- a/src/jacinthsail/internal/model/retries.py
+++ b/src/jacinthsail/internal/model/retries.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, TypedDict
 
+from jacinthsail.internal.model.calls import CallHead
+from jacinthsail.internal.model.document import ClassPolicy
 from jacinthsail.internal.model.settings import Mechanism
 
 
@@ -25,6 +27,14 @@
     has_nested: bool = False
 
 
+class Attempt(NamedTuple):
+    """One attempt of a call under the policy it began with; the first has the number 1."""
+
+    head: CallHead
+    policy: ClassPolicy
+    number: int
+
+
 class RetryState(TypedDict):
     """Token budget per class and the allowance of each request that is being served.
 
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from jacinthsail.internal.model.calls import Answered, CallHead, NotRun, Reason, Unknown
-from jacinthsail.internal.model.document import ClassPolicy, Execution
-from jacinthsail.internal.model.retries import Allowance, RetryBudget, RetryState
+from jacinthsail.internal.model.document import Execution
+from jacinthsail.internal.model.retries import Allowance, Attempt, RetryBudget, RetryState
 from jacinthsail.internal.model.routing import RetryDecision
 from jacinthsail.internal.model.settings import Mechanism
 
@@ -26,7 +26,6 @@
 # Sending the call once more cannot change these outcomes.
 FINAL_REASONS = frozenset(
     {
-        Reason.UNKNOWN_SERVICE,
         Reason.UNKNOWN_CLASS,
         Reason.NO_TARGET,
         Reason.BELOW_EVERY_THRESHOLD,
@@ -43,73 +42,44 @@
 
 @singledispatch
 def decide_retry(
-    outcome: object,
-    retries: RetryState,
-    head: CallHead,
-    policy: ClassPolicy,
-    attempt: int,
-    now: float,
-    random: Random,
+    outcome: object, retries: RetryState, attempt: Attempt, now: float, random: Random
 ) -> RetryDecision:
-    """Return whether the call is sent once more after the outcome of its first or later attempt."""
+    """Return whether the call is sent once more after the outcome of an attempt."""
     raise NotImplementedError(f"no retry rule for {type(outcome).__name__}; register one")
 
 
 @decide_retry.register
 def _(
-    outcome: Answered,
-    retries: RetryState,
-    head: CallHead,
-    policy: ClassPolicy,
-    attempt: int,
-    now: float,
-    random: Random,
+    outcome: Answered, retries: RetryState, attempt: Attempt, now: float, random: Random
 ) -> RetryDecision:
     return _give_up(Reason.TARGET_ANSWERED)
 
 
 @decide_retry.register
 def _(
-    outcome: NotRun,
-    retries: RetryState,
-    head: CallHead,
-    policy: ClassPolicy,
-    attempt: int,
-    now: float,
-    random: Random,
+    outcome: NotRun, retries: RetryState, attempt: Attempt, now: float, random: Random
 ) -> RetryDecision:
-    return _within_budget(retries, head, outcome.reason, attempt, now, random)
+    return _within_budget(retries, attempt, outcome.reason, now, random)
 
 
 @decide_retry.register
 def _(
-    outcome: Unknown,
-    retries: RetryState,
-    head: CallHead,
-    policy: ClassPolicy,
-    attempt: int,
-    now: float,
-    random: Random,
+    outcome: Unknown, retries: RetryState, attempt: Attempt, now: float, random: Random
 ) -> RetryDecision:
-    if policy.execution is Execution.AT_MOST_ONCE:
+    if attempt.policy.execution is Execution.AT_MOST_ONCE:
         return _give_up(outcome.reason)
-    return _within_budget(retries, head, outcome.reason, attempt, now, random)
+    return _within_budget(retries, attempt, outcome.reason, now, random)
 
 
 def _within_budget(
-    retries: RetryState,
-    head: CallHead,
-    reason: Reason,
-    attempt: int,
-    now: float,
-    random: Random,
+    retries: RetryState, attempt: Attempt, reason: Reason, now: float, random: Random
 ) -> RetryDecision:
     if reason in FINAL_REASONS:
         return _give_up(reason)
-    delay_s = back_off_s(attempt, random)
-    if now + delay_s >= head.deadline:
+    delay_s = back_off_s(attempt.number, random)
+    if now + delay_s >= attempt.head.deadline:
         return _give_up(Reason.DEADLINE_EXPIRED)
-    if not may_spend_retry(retries, head, now):
+    if not may_spend_retry(retries, attempt.head, now):
         return _give_up(Reason.RETRIES_SPENT)
     return RetryDecision(again=True, delay_s=delay_s, reason=reason)
 
@@ -118,9 +88,9 @@
     return RetryDecision(again=False, delay_s=0.0, reason=reason)
 
 
-def back_off_s(attempt: int, random: Random) -> float:
-    """Return how long to wait after a failed attempt; the first attempt has the number 1."""
-    longest_s = min(LONGEST_BACK_OFF_S, FIRST_BACK_OFF_S * 2.0 ** (attempt - 1))
+def back_off_s(number: int, random: Random) -> float:
+    """Return how long to wait after a failed attempt; the first has the number 1."""
+    longest_s = min(LONGEST_BACK_OFF_S, FIRST_BACK_OFF_S * 2.0 ** (number - 1))
     return random.uniform(longest_s / 2, longest_s)
 
 
--- a/tests/fast/test_retries.py
+++ b/tests/fast/test_retries.py
@@ -17,6 +17,7 @@
 )
 from jacinthsail.internal.model.calls import Answered, NotRun, Reason, Unknown
 from jacinthsail.internal.model.document import ClassPolicy, Execution, SpillOver
+from jacinthsail.internal.model.retries import Attempt
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.queries.retries import (
     FINAL_REASONS,
@@ -44,7 +45,7 @@
 
 
 def decide(retries, outcome=REFUSED, head=HEAD, policy=POLICY, attempt=1, now=0.0):
-    return decide_retry(outcome, retries, head, policy, attempt, now, Random(1))
+    return decide_retry(outcome, retries, Attempt(head, policy, attempt), now, Random(1))
 
 
 class BudgetTest(unittest.TestCase):
