--- a/src/jacinthsail/testing/measure_overload.py
+++ b/src/jacinthsail/testing/measure_overload.py
@@ -18,8 +18,9 @@
 from jacinthsail.testing.mesh import Mesh
 from jacinthsail.testing.overload_figures import label_of, load_figures, recovery_figures
 from jacinthsail.testing.records import read_executions
+from jacinthsail.testing.run_record import empty_record
 from jacinthsail.testing.scenario_clients import Client, run_load
-from jacinthsail.testing.scenario_model import Load, Target, empty_record
+from jacinthsail.testing.scenario_model import Load, Target
 from jacinthsail.testing.scenario_steps import Runner, run_step
 from jacinthsail.testing.target_model import Execution
 
--- a/src/jacinthsail/testing/overload_figures.py
+++ b/src/jacinthsail/testing/overload_figures.py
@@ -9,7 +9,7 @@
     RecoveryFigures,
     Traffic,
 )
-from jacinthsail.testing.scenario_model import RunRecord, Told
+from jacinthsail.testing.run_record import RunRecord, Told
 from jacinthsail.testing.target_model import Execution
 
 # Requests of the first seconds meet a queue that is still filling.
--- a/src/jacinthsail/testing/scenario.py
+++ b/src/jacinthsail/testing/scenario.py
@@ -13,6 +13,7 @@
 from jacinthsail.errors import describe
 from jacinthsail.testing.mesh import Mesh
 from jacinthsail.testing.records import read_executions
+from jacinthsail.testing.run_record import RunRecord, empty_record
 from jacinthsail.testing.scenario_checks import (
     MAX_LINES_PER_CHECK,
     faults_of,
@@ -21,16 +22,7 @@
 )
 from jacinthsail.testing.scenario_clients import Client
 from jacinthsail.testing.scenario_loader import check_name, load_scenario
-from jacinthsail.testing.scenario_model import (
-    Check,
-    JoinLoads,
-    MeshPlan,
-    RunRecord,
-    Scenario,
-    Step,
-    Twin,
-    empty_record,
-)
+from jacinthsail.testing.scenario_model import Check, JoinLoads, MeshPlan, Scenario, Step, Twin
 from jacinthsail.testing.scenario_steps import (
     Runner,
     StepError,
--- a/src/jacinthsail/testing/scenario_checks.py
+++ b/src/jacinthsail/testing/scenario_checks.py
@@ -11,7 +11,7 @@
 
 from jacinthsail.testing import scenario_model as model
 from jacinthsail.testing.mesh import process_name
-from jacinthsail.testing.scenario_model import RunRecord, Told
+from jacinthsail.testing.run_record import RunRecord, Told
 
 # More lines of the same kind tell a reader nothing new.
 MAX_LINES_PER_CHECK = 5
--- a/src/jacinthsail/testing/scenario_clients.py
+++ b/src/jacinthsail/testing/scenario_clients.py
@@ -8,8 +8,9 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from jacinthsail.testing.run_record import LoadSpan, RunRecord, Told
 from jacinthsail.testing.scenario_loader import mix_of
-from jacinthsail.testing.scenario_model import Load, LoadSpan, Mix, RunRecord, Told
+from jacinthsail.testing.scenario_model import Load, Mix
 
 # Longer than any deadline of the scenarios, so that a node always has the chance to tell.
 CLIENT_TIMEOUT = ClientTimeout(total=12.0)
--- a/src/jacinthsail/testing/scenario_steps.py
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -11,6 +11,7 @@
 
 from jacinthsail.testing import scenario_model as model
 from jacinthsail.testing.mesh import Mesh, process_name
+from jacinthsail.testing.run_record import PublishedEdit, RunRecord, SeenVersions
 from jacinthsail.testing.scenario_clients import Client, run_load
 
 POLL_S = 0.1
@@ -32,7 +33,7 @@
 
     mesh: Mesh
     client: Client
-    record: model.RunRecord
+    record: RunRecord
     texts: dict[str, str]
     loads: set[asyncio.Task[None]]
 
@@ -170,7 +171,7 @@
     else:
         runner.texts[step.section] = text
         version = await publish_section(runner, step.section, text)
-    runner.record["edits"][step.label] = model.PublishedEdit(step.section, version)
+    runner.record["edits"][step.label] = PublishedEdit(step.section, version)
 
 
 @run_step.register
@@ -245,13 +246,13 @@
         await asyncio.sleep(POLL_S)
 
 
-def _seen_of(vm: str, status: dict[str, Any]) -> model.SeenVersions:
+def _seen_of(vm: str, status: dict[str, Any]) -> SeenVersions:
     now = time.monotonic()
     rejected = {}
     for name, section in status["sections"].items():
         if section["rejected_version"] is not None and section["errors"]:
             rejected[name.removeprefix("section/")] = section["rejected_version"]
-    return model.SeenVersions(
+    return SeenVersions(
         vm=vm,
         incarnation=status["incarnation"],
         versions=versions_in(status),
--- a/tests/fast/test_scenario_language.py
+++ b/tests/fast/test_scenario_language.py
@@ -5,6 +5,7 @@
 
 from jacinthsail.errors import MissingKey, UnknownChoice, UnknownKey, WrongType, describe
 from jacinthsail.testing import scenario_model as model
+from jacinthsail.testing.run_record import LoadSpan, SeenVersions, Told, empty_record
 from jacinthsail.testing.scenario import SCENARIOS
 from jacinthsail.testing.scenario_checks import faults_of
 from jacinthsail.testing.scenario_loader import load_scenario, parse_scenario
@@ -30,7 +31,7 @@
 
 
 def told(number=0, **changes):
-    call = model.Told(
+    call = Told(
         label="l",
         request_id=f"l-{number}-0-0",
         plan_id=f"l-{number}",
@@ -62,8 +63,8 @@
 
 
 def record_of(**changes):
-    record = model.empty_record()
-    record["spans"]["l"] = model.LoadSpan(0.0, 2.0)
+    record = empty_record()
+    record["spans"]["l"] = LoadSpan(0.0, 2.0)
     return record | changes
 
 
@@ -178,14 +179,14 @@
 
     def test_goodput_ratio(self):
         check = model.GoodputRatio("l", "m", 0.9)
-        spans = {"l": model.LoadSpan(0.0, 1.0), "m": model.LoadSpan(0.0, 1.0)}
+        spans = {"l": LoadSpan(0.0, 1.0), "m": LoadSpan(0.0, 1.0)}
         reference = [told(2, label="m"), told(3, label="m")]
         good = record_of(spans=spans, told=[*reference, told(), told(1)])
         bad = record_of(spans=spans, told=[*reference, told(), told(1, status=503)])
         self.assert_found(check, good, bad)
 
     def test_reverted_section(self):
-        seen = [model.SeenVersions("a-1", "i", {"s": version}) for version in (1, 2, 1)]
+        seen = [SeenVersions("a-1", "i", {"s": version}) for version in (1, 2, 1)]
         self.assert_found(model.NeverReverted(), record_of(seen=seen[:2]), record_of(seen=seen))
 
     def test_work_after_leaving(self):
