--- a/src/jacinthsail/testing/demo.py
+++ b/src/jacinthsail/testing/demo.py
@@ -57,6 +57,9 @@
     DemoRequest("a chain of three calls", "drafts-manila", "filings", "file", _CHAIN),
     DemoRequest("at most once", "filings-baguio", "billing", "claim", "12 pages"),
     DemoRequest("at most once, own target", "seals-manila", "seals", "request", "seal"),
+    DemoRequest("relayed to a peer", "drafts-baguio", "filings", "list", "clerk 3"),
+    DemoRequest("relayed to a peer", "drafts-manila", "billing", "statement", "November"),
+    DemoRequest("relayed, at most once", "drafts-baguio", "seals", "request", "seal 4"),
     DemoRequest("no section describes it", "drafts-manila", "drafts", "shred", "page 7"),
 )
 
