--- a/src/jacinthsail/testing/scenario.py
+++ b/src/jacinthsail/testing/scenario.py
@@ -26,6 +26,7 @@
 from jacinthsail.testing.scenario_steps import (
     Runner,
     StepError,
+    note_versions,
     publish_section,
     run_step,
     watch_versions,
@@ -105,6 +106,8 @@
             for task in [watcher, *runner.loads]:
                 task.cancel()
             await asyncio.gather(watcher, *runner.loads, return_exceptions=True)
+        # The last round of the watcher may be older than the end of the last step.
+        await note_versions(runner)
     for vm in mesh.vms:
         record["executions"] += read_executions(mesh.record_path(vm))
     judged = [Judged(check, faults_of(check, record)) for check in scenario.checks]
--- a/src/jacinthsail/testing/scenario_steps.py
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -238,14 +238,19 @@
 async def watch_versions(runner: Runner) -> None:
     """Note the versions in force on every node that is ready, until cancelled."""
     while True:
-        for vm in runner.mesh.vms:
-            status = await node_status(runner, vm)
-            if status is None or not status["ready"]:
-                continue
-            runner.record["seen"].append(_seen_of(vm, status))
+        await note_versions(runner)
         await asyncio.sleep(POLL_S)
 
 
+async def note_versions(runner: Runner) -> None:
+    """Note the versions in force now on every node that is ready."""
+    for vm in runner.mesh.vms:
+        status = await node_status(runner, vm)
+        if status is None or not status["ready"]:
+            continue
+        runner.record["seen"].append(_seen_of(vm, status))
+
+
 def _seen_of(vm: str, status: dict[str, Any]) -> SeenVersions:
     now = time.monotonic()
     rejected = {}
