--- a/tests/common/replicas.py
+++ b/tests/common/replicas.py
@@ -2,18 +2,9 @@
 
 import json
 
-from jacinthsail.internal.commands.replication import accept_item, confirm_versions
-from jacinthsail.internal.model.messages import Ask, Offer
 from jacinthsail.internal.model.replication import Item
 from jacinthsail.internal.queries.documents import digest_of
 from jacinthsail.internal.queries.initial import initial_state
-from jacinthsail.internal.queries.replication import (
-    copies_of,
-    decide_ask,
-    decide_counter_offer,
-    decide_item,
-    versions_held,
-)
 from tests.common.checking import node_settings
 
 
@@ -67,31 +58,3 @@
 def region_of(domain):
     """Return the region of ``domain-<number>``: four failure domains to a region."""
     return f"region-{int(domain.removeprefix('domain-')) // 4}"
-
-
-def take(store, copy, now=0.0, disabled=frozenset()):
-    """Let a store decide on a copy and apply the decision."""
-    accept_item(store, decide_item(store, copy, disabled), now)
-
-
-def give(source, names, receiver):
-    """Send the copies that a receiver asked for."""
-    for copy in copies_of(source, Ask(tuple(names))):
-        take(receiver, copy)
-
-
-def exchange(first, second):
-    """Let the first store offer everything it holds to the second, as on a new connection."""
-    offer = Offer(versions_held(first), complete=True)
-    give(first, decide_ask(second, offer).names, second)
-    counter_offer = decide_counter_offer(second, offer)
-    give(second, decide_ask(first, counter_offer).names, first)
-
-
-def adopt(first, second, now=0.0):
-    """Let each store hear the other's heartbeat."""
-    if first["digest"] != second["digest"]:
-        return
-    newest = max(first["as_of_ms"], second["as_of_ms"])
-    confirm_versions(first, newest, now)
-    confirm_versions(second, newest, now)
--- a/tests/fast/test_membership.py
+++ b/tests/fast/test_membership.py
@@ -34,7 +34,8 @@
 )
 from jacinthsail.internal.queries.routing import takes_no_new_work
 from jacinthsail.internal.queries.settings import parse_settings
-from tests.common.replicas import node, node_settings, take, vm_list_item
+from jacinthsail.testing.replica_exchange import take
+from tests.common.replicas import node, node_settings, vm_list_item
 
 DOMAINS = 11
 
--- a/tests/fast/test_replication.py
+++ b/tests/fast/test_replication.py
@@ -51,16 +51,8 @@
     version_in_force,
 )
 from jacinthsail.internal.queries.status import node_status, section_conflicts
-from tests.common.replicas import (
-    adopt,
-    broken_item,
-    exchange,
-    item,
-    node,
-    section_item,
-    take,
-    vm_list_item,
-)
+from jacinthsail.testing.replica_exchange import adopt, exchange, take
+from tests.common.replicas import broken_item, item, node, section_item, vm_list_item
 
 # The same examples in each run, so that a verdict does not depend on chance.
 STEADY = settings(derandomize=True, deadline=None, max_examples=150)
