Let a scenario wait for sections on what its checks will read

Twin edit_in_force once failed to fail in a full run: the platform went stale 10 ms after all nodes had the new section, and the round of the watcher, once in 100 ms, never saw that version. The step asked the nodes itself and kept nothing of it, so never-reverted had no earlier version to compare.

The step now waits until the watcher has noted the versions, so a check sees all that a wait saw.

--- a/src/jacinthsail/testing/scenario_steps.py
+++ b/src/jacinthsail/testing/scenario_steps.py
@@ -181,10 +181,11 @@
 
 @run_step.register
 async def _(step: model.WaitSections, runner: Runner) -> None:
-    latest = time.monotonic() + step.timeout_s
-    while time.monotonic() < latest:
-        statuses = [await node_status(runner, vm) for vm in step.vms]
-        if all(versions_in(status) == runner.record["published"] for status in statuses):
+    # The step reads what the watcher noted and asks no node itself: a later step can take a version
+    # back before the next round of the watcher, and the checks would then never have seen it.
+    started_at = time.monotonic()
+    while time.monotonic() < started_at + step.timeout_s:
+        if _sections_in_force(step.vms, runner.record, started_at):
             return
         await asyncio.sleep(POLL_S)
     raise StepError(f"sections not in force on {step.vms} after {step.timeout_s} s")
@@ -201,6 +202,15 @@
     raise StepError(f"{step.vms} not ready after {step.timeout_s} s")
 
 
+def _sections_in_force(vms: tuple[str, ...], record: RunRecord, since: float) -> bool:
+    """Tell whether every VM was last seen with the published sections, after ``since``."""
+    versions = {}
+    for seen in record["seen"]:
+        if seen.seen_at >= since:
+            versions[seen.vm] = seen.versions
+    return all(versions.get(vm) == record["published"] for vm in vms)
+
+
 async def publish_section(runner: Runner, section: str, text: str) -> int:
     """Publish a section; note and return the version that the platform gave it."""
     version = await _publish(runner, section, text)
