Take back early windows in front of few slots

After a slowdown of the deep service they kept goodput down. The cause within the limiter is not known; that windows which end early are those with the lowest latencies, and so lower the baseline, is inferred and not tested.

--- a/src/jacinthsail/internal/queries/limits.py
+++ b/src/jacinthsail/internal/queries/limits.py
@@ -37,11 +37,6 @@
 # would otherwise take seconds to grow.
 MIN_WINDOW_CALLS = 10
 
-# A target with fewer slots than that makes a window only in several rounds of calls. With windows
-# of 10 calls, a limit of 1 in front of a target that takes 250 ms needed more than 4 s to return to
-# 3 after a slowdown; 2 s are allowed. Good news is therefore taken from fewer calls.
-MIN_FAST_CALLS = 3
-
 # Means over fewer calls vary too much to be compared. At 4 slots and 200 ms a call, comparisons of
 # 40 calls lasted longer than the slowdown that caused them and delayed the return of goodput.
 MIN_COMPARED_CALLS = 6
@@ -230,28 +225,13 @@
 ) -> AdaptiveLimit:
     trend = limiter.trend
     window = window_after(trend, sample, now)
-    if not is_complete(limiter, window):
+    if window.calls < calls_in_window(limiter):
         return limiter._replace(trend=trend._replace(window=window))
     step = step_after_window(limiter, steps, means_of(window))
     limit = min(float(limiter.maximum), max(float(limiter.minimum), step.limit))
     return limiter._replace(limit=limit, trend=_trend_after(limiter, limit, step, now))
 
 
-def is_complete(limiter: AdaptiveLimit, window: LatencyWindow) -> bool:
-    """Tell whether a window holds enough calls to move the limit."""
-    if window.calls >= calls_in_window(limiter):
-        return True
-    if limiter.maximum >= MIN_WINDOW_CALLS or window.overloads:
-        return False
-    if window.calls < max(MIN_FAST_CALLS, limiter.limit):
-        return False
-    means = means_of(window)
-    comparison = limiter.trend.comparison
-    if comparison is not None:
-        return has_become_faster(comparison, means)
-    return means.latency_s * NO_QUEUE_RATIO <= limiter.trend.baseline_s
-
-
 def calls_in_window(limiter: AdaptiveLimit) -> float:
     """Return how many calls make a complete window.
 
