--- a/tests/fast/test_limiters_compared.py
+++ b/tests/fast/test_limiters_compared.py
@@ -61,3 +61,17 @@
         target.play(Phase("first second", 1.0, slots, service_s, 0.9 * calls_per_s), 2.0)
         later = target.play(Phase("later", 2.0, slots, service_s, 0.9 * calls_per_s), 2.0)
         self.assertGreaterEqual(later.useful_share, 0.9)
+
+    def test_few_slots_return_from_a_limit_of_one(self):
+        """At a limit of 1 a window of 10 calls takes 10 rounds, which outlast the slowdown."""
+        slots, service_s = 4, 0.04
+        calls_per_s = slots / service_s
+        for seed in (4, 14, 45):
+            policy = service_policy_with(GradientLimitPolicy(1, 1, slots), 16)
+            target = FakeTarget(policy, seed)
+            target.play(Phase("before", 4.0, slots, service_s, 0.6 * calls_per_s), 2.0)
+            target.play(Phase("slow", 3.0, slots, 5 * service_s, 1.2 * calls_per_s), 2.0)
+            target.play(Phase("first second", 1.0, slots, service_s, 0.9 * calls_per_s), 2.0)
+            later = target.play(Phase("later", 2.0, slots, service_s, 0.9 * calls_per_s), 2.0)
+            with self.subTest(seed=seed):
+                self.assertGreaterEqual(later.useful_share, 0.9)
