--- a/src/jacinthsail/internal/queries/documents.py
+++ b/src/jacinthsail/internal/queries/documents.py
@@ -125,7 +125,7 @@
         name=name,
         slots=slots,
         connections=table["connections"],
-        queue_length=table.get("queue_length", 2 * slots),
+        queue_length=table.get("queue_length", 4 * slots),
         limit=_limit_of(table.get("limiter", "gradient"), slots),
         classes=classes,
     )
