--- a/src/jacinthsail/__init__.py
+++ b/src/jacinthsail/__init__.py
@@ -8,10 +8,24 @@
     ['billing: services is missing; add it']
 """
 
+from importlib import import_module
+from typing import Any
+
 from jacinthsail.errors import describe
-from jacinthsail.internal.queries.documents import parse_section
-from jacinthsail.internal.queries.settings import parse_settings
 
 __version__ = "0.1.0"
 
 __all__ = ["describe", "parse_section", "parse_settings"]
+
+# Loaded on first use: a node that serves HTTP needs neither parser nor their libraries.
+_PARSERS = {
+    "parse_section": "jacinthsail.internal.queries.documents",
+    "parse_settings": "jacinthsail.internal.queries.settings",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Return a parser of the public surface."""
+    if name not in _PARSERS:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(_PARSERS[name]), name)
--- a/src/jacinthsail/internal/adapters/decision_log.py
+++ b/src/jacinthsail/internal/adapters/decision_log.py
@@ -10,6 +10,7 @@
 import os
 from collections import deque
 
+from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.decisions import DecisionLine
 
 _LOG = logging.getLogger("jacinthsail.decisions")
@@ -24,6 +25,10 @@
 # Lines that were taken for a write cannot be dropped any more, so a write takes only a few.
 MAX_LINES_PER_WRITE = 50
 
+# Lines about requests in a second; the volume stays bounded however many requests there are.
+ROUTINE_LINES_PER_S = 5.0
+OTHER_LINES_PER_S = 40.0
+
 
 def log_decision(line: DecisionLine) -> None:
     """Log one routing or placement decision.
@@ -38,6 +43,57 @@
     _LOG.handle(record)
 
 
+class LineBudget:
+    """Bounds the lines about routine requests, so that logs stay small under load.
+
+    Lines about refusals, repeats and failures have a larger budget of their own.
+    """
+
+    def __init__(self, lines_per_s: float) -> None:
+        self.lines_per_s = lines_per_s
+        self.tokens = lines_per_s
+        self.counted_at = 0.0
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        """Tell whether one more line may be written at this time."""
+        passed_s = max(0.0, now - self.counted_at)
+        self.counted_at = now
+        self.tokens = min(self.lines_per_s, self.tokens + passed_s * self.lines_per_s)
+        if self.tokens < 1:
+            self.left_out += 1
+            return False
+        self.tokens -= 1
+        return True
+
+
+_ROUTINE_LINES = LineBudget(ROUTINE_LINES_PER_S)
+_OTHER_LINES = LineBudget(OTHER_LINES_PER_S)
+
+
+def log_request(
+    event: str,
+    request_id: str,
+    reason: Reason,
+    now: float,
+    *,
+    is_routine: bool = False,
+    **inputs: object,
+) -> None:
+    """Log one decision about a request with what decided it."""
+    budget = _ROUTINE_LINES if is_routine else _OTHER_LINES
+    if not budget.take(now) or not _LOG.isEnabledFor(logging.INFO):
+        return
+    line: dict[str, object] = {"decision": event, "request_id": request_id, "reason": reason}
+    line.update(inputs)
+    if budget.left_out:
+        line["left_out"] = budget.left_out
+        budget.left_out = 0
+    record = logging.LogRecord(_LOG.name, logging.INFO, __file__, 0, event, None, None)
+    record.request_line = line
+    _LOG.handle(record)
+
+
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object."""
 
@@ -45,7 +101,10 @@
         """Return the record's fields, or its message, as one line."""
         decision: DecisionLine | None = getattr(record, "decision_line", None)
         line = {"time": record.created, "level": record.levelname, "logger": record.name}
-        if decision is None:
+        request_line: dict[str, object] | None = getattr(record, "request_line", None)
+        if request_line is not None:
+            line.update(request_line)
+        elif decision is None:
             line["message"] = record.getMessage()
         else:
             line.update(decision._asdict())
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -0,0 +1,346 @@
+"""Serves the requests of callers: routes them, sends them and passes the answer back."""
+
+import asyncio
+from collections.abc import Callable
+from functools import singledispatchmethod
+from random import Random
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import MalformedMessage
+from jacinthsail.internal.adapters.decision_log import log_request
+from jacinthsail.internal.adapters.http_server import (
+    HttpRequest,
+    HttpResponse,
+    RequestHandle,
+    Respond,
+)
+from jacinthsail.internal.adapters.own_target import OwnTarget
+from jacinthsail.internal.adapters.peer_links import PeerLinks
+from jacinthsail.internal.adapters.request_metrics import RequestMetrics
+from jacinthsail.internal.commands.exchange import (
+    record_failure,
+    record_offer,
+    record_refusal,
+    record_send,
+)
+from jacinthsail.internal.commands.fleet import (
+    advance_split,
+    record_call_end,
+    record_call_sent,
+    record_draining,
+    record_target_failure,
+    record_target_success,
+)
+from jacinthsail.internal.commands.repeats import record_first, record_repeat
+from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
+from jacinthsail.internal.model.exchange import (
+    AnswerHere,
+    Begin,
+    Deliver,
+    Exchange,
+    Forward,
+    ForwardOutcome,
+    GiveUp,
+    RequestFacts,
+    SendAgain,
+    TargetAnswer,
+)
+from jacinthsail.internal.model.fleet import (
+    FleetState,
+    NodePlace,
+    NoTarget,
+    SendToNode,
+    SendToOwnTarget,
+    TargetEntry,
+)
+from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.queries.manifest_routes import decide_entry
+from jacinthsail.internal.queries.next_steps import (
+    REFUSED_BY_TARGET,
+    STATUS_TIMEOUT,
+    give_up_after_not_run,
+    is_repeatable,
+    next_step,
+)
+from jacinthsail.internal.queries.patience import patience_s
+from jacinthsail.internal.queries.target_choice import choose_target
+
+# A target answers at the deadline that it was told; its answer needs some time to arrive here.
+DEADLINE_SLACK_S = 0.12
+
+STATUS_BAD_REQUEST = 400
+
+_UNREACHABLE = frozenset({Reason.PEER_UNREACHABLE, Reason.TARGET_UNREACHABLE})
+
+
+class CallerDialect(Protocol):
+    """How requests and answers look on the connections of callers."""
+
+    def facts_of(self, request: HttpRequest) -> Result[RequestFacts, MalformedMessage]:
+        """Return what the decisions need of a request."""
+
+    def head_lines(self, request: HttpRequest, caller_service: str) -> bytes:
+        """Return the header lines that the target gets."""
+
+    def own_answer(self, facts: RequestFacts | None, status: int, retry_after_s: float) -> bytes:
+        """Return the header lines of an answer that this node makes by itself."""
+
+
+class Entry:
+    """The requests that entered at this node."""
+
+    def __init__(
+        self,
+        fleet: FleetState,
+        repeats: RepeatState,
+        place: NodePlace,
+        dialect: CallerDialect,
+        own_target: OwnTarget,
+        links: PeerLinks,
+        metrics: RequestMetrics,
+        random: Random,
+    ) -> None:
+        self.fleet = fleet
+        self.repeats = repeats
+        self.place = place
+        self.dialect = dialect
+        self.own_target = own_target
+        self.links = links
+        self.metrics = metrics
+        self.random = random
+        self.loop = asyncio.get_running_loop()
+        self.open: set[OpenRequest] = set()
+
+    def serve(self, request: HttpRequest, respond: Respond) -> RequestHandle | None:
+        """Serve one request; ``respond`` is called once, unless the caller goes away."""
+        now = self.loop.time()
+        match self.dialect.facts_of(request):
+            case Success(facts):
+                return self._begin(request, facts, respond, now)
+            case Failure(error):
+                log_request("refused", "", Reason.MALFORMED_REQUEST, now, detail=error.detail)
+                self.metrics.count("", STATUS_BAD_REQUEST, Reason.MALFORMED_REQUEST, 0.0)
+                head_lines = self.dialect.own_answer(None, STATUS_BAD_REQUEST, 0.0)
+                respond(HttpResponse(STATUS_BAD_REQUEST, head_lines, b""))
+        return None
+
+    def _begin(
+        self, request: HttpRequest, facts: RequestFacts, respond: Respond, now: float
+    ) -> RequestHandle | None:
+        decision = decide_entry(self.fleet, facts, now)
+        if isinstance(decision, AnswerHere):
+            log_request("refused", facts.request_id, decision.reason, now, status=decision.status)
+            self.metrics.count("", decision.status, decision.reason, 0.0)
+            head_lines = self.dialect.own_answer(facts, decision.status, decision.retry_after_s)
+            respond(HttpResponse(decision.status, head_lines, b""))
+            return None
+        advance_split(self.fleet, decision.route)
+        record_first(self.repeats, decision.service, now)
+        opened = OpenRequest(self, request, facts, decision, respond, now)
+        self.open.add(opened)
+        opened.send(now)
+        return opened
+
+
+class OpenRequest:
+    """One request of a caller that has no answer yet."""
+
+    __slots__ = ("entry", "request", "exchange", "respond", "handle", "timer", "head_lines")
+
+    def __init__(
+        self,
+        entry: Entry,
+        request: HttpRequest,
+        facts: RequestFacts,
+        begin: Begin,
+        respond: Respond,
+        now: float,
+    ) -> None:
+        self.entry = entry
+        self.request = request
+        self.head_lines = entry.dialect.head_lines(request, entry.place.service)
+        self.respond: Callable[[HttpResponse], None] | None = respond
+        self.handle: RequestHandle | None = None
+        self.exchange = Exchange(
+            facts=facts,
+            route=begin.route,
+            service=begin.service,
+            arrived_at=now,
+            deadline=begin.deadline,
+            tried=set(),
+            sent=0,
+            refusals=0,
+            current="",
+            unsettled=False,
+        )
+        self.timer = entry.loop.call_at(begin.deadline + DEADLINE_SLACK_S, self.on_deadline)
+
+    def send(self, now: float) -> None:
+        """Send the request to the target that is best now."""
+        entry = self.entry
+        choice = choose_target(entry.fleet, entry.place, self.exchange, now, entry.random)
+        if isinstance(choice, NoTarget):
+            self.follow(
+                give_up_after_not_run(choice.reason, self.exchange, choice.retry_after_s), now
+            )
+            return
+        target = choice.entry
+        record_send(self.exchange, target.incarnation)
+        record_call_sent(entry.fleet, target)
+        forward = self._forward(target, now)
+        if isinstance(choice, SendToOwnTarget):
+            handle: RequestHandle = entry.own_target.submit(forward, self.on_outcome)
+        else:
+            assert isinstance(choice, SendToNode)
+            handle = entry.links.send(target.host, forward, self.on_outcome)
+        if self.exchange["current"] == target.incarnation and self.respond is not None:
+            self.handle = handle
+
+    def _forward(self, target: TargetEntry, now: float) -> Forward:
+        exchange = self.exchange
+        return Forward(
+            request_id=exchange["facts"].request_id,
+            method=self.request.method,
+            url=self.request.url,
+            service=exchange["service"],
+            incarnation=target.incarnation,
+            repeatable=is_repeatable(exchange),
+            rank=exchange["route"].priority,
+            remaining_s=max(0.0, exchange["deadline"] - now),
+            patience_s=patience_s(exchange, now),
+            head_lines=self.head_lines,
+            body=self.request.body,
+        )
+
+    def on_outcome(self, outcome: ForwardOutcome) -> None:
+        """Continue after one send."""
+        now = self.entry.loop.time()
+        incarnation = self.exchange["current"]
+        self.handle = None
+        record_call_end(self.entry.fleet, incarnation)
+        if self.respond is None:
+            return
+        self._record(outcome, incarnation, now)
+        self.follow(next_step(outcome, self.exchange, self.entry.repeats, now), now)
+
+    @singledispatchmethod
+    def _record(self, outcome: object, incarnation: str, now: float) -> None:
+        """Remember what an outcome says of its target."""
+        raise NotImplementedError(f"no record of {type(outcome).__name__}; register one")
+
+    @_record.register
+    def _(self, outcome: TargetAnswer, incarnation: str, now: float) -> None:
+        record_offer(self.exchange)
+        record_target_success(self.entry.fleet, incarnation)
+        record_failure(self.exchange, may_have_run=True)
+
+    @_record.register
+    def _(self, outcome: NotRun, incarnation: str, now: float) -> None:
+        fleet = self.entry.fleet
+        if outcome.reason in REFUSED_BY_TARGET:
+            record_offer(self.exchange)
+            record_failure(self.exchange, may_have_run=False)
+            return
+        if outcome.reason in _UNREACHABLE:
+            record_target_failure(fleet, incarnation, now)
+        if outcome.reason is Reason.DRAINING:
+            record_draining(fleet, incarnation, True)
+        record_refusal(self.exchange)
+
+    @_record.register
+    def _(self, outcome: Unknown, incarnation: str, now: float) -> None:
+        record_offer(self.exchange)
+        if outcome.reason is Reason.CONNECTION_LOST:
+            record_target_failure(self.entry.fleet, incarnation, now)
+        record_failure(self.exchange, may_have_run=True)
+
+    @singledispatchmethod
+    def follow(self, step: object, now: float) -> None:
+        """Carry out what was decided after an outcome."""
+        raise NotImplementedError(f"no action for {type(step).__name__}; register one")
+
+    @follow.register
+    def _(self, step: Deliver, now: float) -> None:
+        answer = step.answer
+        self._finish(
+            HttpResponse(answer.status, answer.head_lines, answer.body),
+            Reason.TARGET_ANSWERED,
+            now,
+        )
+
+    @follow.register
+    def _(self, step: SendAgain, now: float) -> None:
+        exchange = self.exchange
+        log_request(
+            "again",
+            exchange["facts"].request_id,
+            step.reason,
+            now,
+            service=exchange["service"],
+            tried=len(exchange["tried"]),
+        )
+        if step.spends:
+            record_repeat(self.entry.repeats, exchange["service"], now)
+        self.send(now)
+
+    @follow.register
+    def _(self, step: GiveUp, now: float) -> None:
+        self._give_up(step, now)
+
+    def _give_up(self, step: GiveUp, now: float) -> None:
+        head_lines = self.entry.dialect.own_answer(
+            self.exchange["facts"], step.status, step.retry_after_s
+        )
+        self._finish(HttpResponse(step.status, head_lines, b""), step.reason, now)
+
+    def _finish(self, response: HttpResponse, reason: Reason, now: float) -> None:
+        respond = self.respond
+        if respond is None:
+            return
+        self._close(now, response.status, reason)
+        respond(response)
+
+    def _close(self, now: float, status: int, reason: Reason) -> None:
+        exchange = self.exchange
+        self.respond = None
+        self.timer.cancel()
+        self.entry.open.discard(self)
+        took_s = now - exchange["arrived_at"]
+        self.entry.metrics.count(exchange["route"].name, status, reason, took_s)
+        log_request(
+            "finished",
+            exchange["facts"].request_id,
+            reason,
+            now,
+            is_routine=200 <= status < 300,
+            status=status,
+            route=exchange["route"].name,
+            service=exchange["service"],
+            sent=exchange["sent"],
+            refusals=exchange["refusals"],
+            took_ms=round(took_s * 1000, 1),
+        )
+
+    def on_deadline(self) -> None:
+        """Answer a caller whose time is over and tell the target's node to stop."""
+        now = self.entry.loop.time()
+        handle = self.handle
+        self.handle = None
+        self._give_up(GiveUp(STATUS_TIMEOUT, Reason.ROUTE_TIMEOUT, 0.0), now)
+        self._abandon(handle)
+
+    def cancel(self) -> None:
+        """Give the request up because its caller went away."""
+        handle = self.handle
+        self.handle = None
+        if self.respond is not None:
+            self._close(self.entry.loop.time(), 0, Reason.CALLER_GONE)
+        self._abandon(handle)
+
+    def _abandon(self, handle: RequestHandle | None) -> None:
+        if handle is None:
+            return
+        record_call_end(self.entry.fleet, self.exchange["current"])
+        handle.cancel()
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -0,0 +1,219 @@
+"""The service tree of a node that serves HTTP requests by host and path."""
+
+import asyncio
+import logging
+from random import Random
+from typing import Any, NamedTuple
+from uuid import uuid4
+
+import mode
+
+from jacinthsail.internal.adapters.entry import CallerDialect, Entry
+from jacinthsail.internal.adapters.http_server import (
+    SWEEP_S,
+    CallerPort,
+    HttpRequest,
+    HttpResponse,
+    RequestHandle,
+    Respond,
+    ServerLimits,
+)
+from jacinthsail.internal.adapters.own_target import OwnTarget, TargetDialect
+from jacinthsail.internal.adapters.peer_links import PeerLinks
+from jacinthsail.internal.adapters.request_metrics import RequestMetrics
+from jacinthsail.internal.adapters.store_follower import StoreClient, StoreFollower
+from jacinthsail.internal.commands.backlog import set_slots, set_target_leaving, stop_new_work
+from jacinthsail.internal.commands.fleet import record_load
+from jacinthsail.internal.commands.repeats import set_budget
+from jacinthsail.internal.model.backlog import BacklogState
+from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.model.fleet_settings import FleetSettings
+from jacinthsail.internal.model.messages import Hello
+from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.queries.backlog import INITIAL_MEAN_S
+from jacinthsail.internal.queries.fleet_view import new_fleet, node_count, own_target
+from jacinthsail.internal.queries.store_reading import new_reading
+
+_LOG = logging.getLogger("jacinthsail.node")
+
+# Until the first manifest names the limits.
+FIRST_LIMITS = ServerLimits(16 * 1024, 16 * 1024 * 1024, 3.0, 15.0)
+
+# A body travels between nodes in one frame.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+# Slots assumed until the own target is listed.
+FIRST_SLOTS = 64
+
+# The end of the grace period is kept free for closing what is left.
+STOP_MARGIN_S = 0.6
+
+# Callers are asked every second whether the node is ready and leave after two misses; until then
+# they send requests that have to be served.
+READINESS_NOTICE_S = 2.6
+
+STOP_POLL_S = 0.05
+
+
+class PlatformDialects(NamedTuple):
+    """How callers, targets and the store of the platform speak."""
+
+    callers: CallerDialect
+    target: TargetDialect
+    store: StoreClient
+
+
+class FleetNode(mode.Service):
+    """One node beside one target."""
+
+    def __init__(self, settings: FleetSettings, dialects: PlatformDialects, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.dialects = dialects
+
+    async def on_first_start(self) -> None:
+        """Build the state and open the ports, the callers' port last."""
+        settings = self.settings
+        incarnation = uuid4().hex
+        self.is_leaving = False
+        self.fleet = new_fleet()
+        self.reading = new_reading()
+        self.backlog = BacklogState(
+            slots=FIRST_SLOTS,
+            in_flight=0,
+            waiting=[],
+            tickets={},
+            waiting_by_rank={},
+            next_ticket=1,
+            mean_s=INITIAL_MEAN_S,
+            draining=False,
+            stopped=False,
+        )
+        budget = settings.budget
+        self.repeats = RepeatState(
+            by_service={}, ratio=budget.ratio, window_s=budget.window_s, extra=0.0
+        )
+        self.own_target = OwnTarget(
+            self.backlog, self.dialects.target, settings.target.host, settings.target.port
+        )
+        place = settings.place
+        self.links = PeerLinks(
+            Hello(place.name, incarnation, place.failure_domain, place.service),
+            settings.peers.port,
+            self.own_target,
+            {"control_bytes_sent": 0, "control_bytes_received": 0},
+            self._on_load,
+        )
+        self.metrics = RequestMetrics()
+        self.entry = Entry(
+            self.fleet,
+            self.repeats,
+            place,
+            self.dialects.callers,
+            self.own_target,
+            self.links,
+            self.metrics,
+            Random(incarnation),
+        )
+        self.callers_port = CallerPort(self.entry.serve, FIRST_LIMITS)
+        self.readiness_port = CallerPort(self._serve_readiness, FIRST_LIMITS)
+        self.metrics_port = CallerPort(self._serve_metrics, FIRST_LIMITS)
+        follower = StoreFollower(
+            self.dialects.store,
+            self.reading,
+            self.fleet,
+            Random(f"{incarnation} store"),
+            self.on_published,
+        )
+        await self.add_runtime_dependency(follower)
+        await self.links.listen(settings.peers.host)
+        await self.readiness_port.listen(settings.readiness.host, settings.readiness.port)
+        await self.metrics_port.listen(settings.metrics.host, settings.metrics.port)
+        await self.callers_port.listen(settings.callers.host, settings.callers.port)
+        _LOG.info("node %s serves beside service %s", place.name, place.service)
+
+    def _on_load(self, incarnation: str, report: LoadReport) -> None:
+        record_load(self.fleet, incarnation, report, asyncio.get_running_loop().time())
+
+    def on_published(self) -> None:
+        """Apply what is published of the own target, the limits and the size of the fleet."""
+        budget = self.settings.budget
+        set_budget(
+            self.repeats, budget.ratio, budget.window_s, budget.extra / node_count(self.fleet)
+        )
+        own = own_target(self.fleet, self.settings.place)
+        if own is not None:
+            set_slots(self.backlog, own.slots)
+        is_leaving = own is not None and own.leaving
+        if is_leaving != self.backlog["draining"]:
+            _LOG.info("own target %s", "leaves" if is_leaving else "takes work again")
+            set_target_leaving(self.backlog, is_leaving)
+        if is_leaving:
+            self.own_target.refuse_waiting(Reason.DRAINING)
+        manifest = self.fleet["manifest"]
+        if manifest is not None:
+            self.callers_port.limits = ServerLimits(
+                manifest.limits.max_header_bytes,
+                min(MAX_BODY_BYTES, manifest.limits.max_body_bytes),
+                manifest.limits.header_timeout_s,
+                manifest.limits.idle_timeout_s,
+            )
+
+    def is_ready(self) -> bool:
+        """Tell whether new callers may be sent here."""
+        return self.fleet["manifest"] is not None and not self.is_leaving
+
+    def _serve_readiness(self, request: HttpRequest, respond: Respond) -> RequestHandle | None:
+        respond(HttpResponse(200 if self.is_ready() else 503, b"", b""))
+        return None
+
+    def _serve_metrics(self, request: HttpRequest, respond: Respond) -> RequestHandle | None:
+        content, headers = self.metrics.page(self.fleet, self.backlog, self.reading)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        respond(HttpResponse(200, lines.encode("ascii"), content))
+        return None
+
+    @mode.Service.task
+    async def sweep(self) -> None:
+        """Close connections of callers that are idle or slow."""
+        loop = asyncio.get_running_loop()
+        while not self.should_stop:
+            await asyncio.sleep(SWEEP_S)
+            self.callers_port.sweep(loop.time())
+            self.readiness_port.sweep(loop.time())
+            self.metrics_port.sweep(loop.time())
+
+    async def on_stop(self) -> None:
+        """Take no new work for the own target, serve what is here, then close."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        latest = started + self.settings.grace_s - STOP_MARGIN_S
+        _LOG.info("stop was requested; %d requests are in progress", len(self.entry.open))
+        self.is_leaving = True
+        stop_new_work(self.backlog)
+        self.links.say_goodbye()
+        self.own_target.refuse_waiting(Reason.DRAINING)
+        self.callers_port.is_closing = True
+        while loop.time() < latest and (
+            loop.time() < started + READINESS_NOTICE_S or self._has_work()
+        ):
+            await asyncio.sleep(STOP_POLL_S)
+        self.callers_port.close_listener()
+        self.callers_port.close_idle()
+        while loop.time() < latest and self._has_work():
+            await asyncio.sleep(STOP_POLL_S)
+
+    def _has_work(self) -> bool:
+        if self.entry.open or self.backlog["in_flight"]:
+            return True
+        return self.links.has_inbound_work()
+
+    async def on_shutdown(self) -> None:
+        """Close every port and connection."""
+        self.links.close()
+        self.own_target.close()
+        for port in (self.callers_port, self.readiness_port, self.metrics_port):
+            port.close_listener()
+            port.abort_all()
+        _LOG.info("node %s has stopped", self.settings.place.name)
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -0,0 +1,225 @@
+"""One HTTP/1.1 client connection that carries one exchange at a time.
+
+It serves the own target and the platform's store. Answers are taken whole or not at all: bytes
+after an answer, an answer cut short and an answer to another request never reach a caller.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httptools
+
+# Larger answers would exhaust the memory of a small process.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+# Unanswered requests this old are abandoned by the socket when the peer stops to acknowledge, so
+# that a peer without power does not hold the connection.
+USER_TIMEOUT_MS = 3000
+
+_TCP_USER_TIMEOUT = 18
+
+HEADER_CONNECTION = b"connection"
+HEADER_KEEP_ALIVE = b"keep-alive"
+HEADER_CONTENT_LENGTH = b"content-length"
+HEADER_TRANSFER_ENCODING = b"transfer-encoding"
+
+
+class HttpAnswer(NamedTuple):
+    """One complete answer; header names are in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Broken(NamedTuple):
+    """The exchange ended without a complete answer; ``reached`` tells whether bytes were sent."""
+
+    detail: str
+    reached: bool
+
+
+ExchangeResult = HttpAnswer | Broken
+
+# Tells whether a complete answer belongs to the request that waits.
+Matches = Callable[[HttpAnswer], bool]
+
+
+class HttpClientConnection(asyncio.Protocol):
+    """Sends one request at a time and reports its answer through a callback."""
+
+    def __init__(
+        self,
+        on_free: Callable[["HttpClientConnection"], None],
+        on_closed: Callable[["HttpClientConnection"], None],
+    ) -> None:
+        self.on_free = on_free
+        self.on_closed = on_closed
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.on_result: Callable[[ExchangeResult], None] | None = None
+        self.matches: Matches | None = None
+        self.is_head = False
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.in_message = False
+        self.has_length = False
+        self.must_close = False
+        self.idle_timeout_s: float | None = None
+        self.idle_since = 0.0
+        self.exchanges = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Remember the transport and bound the wait for acknowledgements."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(6, _TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def is_idle(self) -> bool:
+        """Tell whether another request can be sent."""
+        if self.transport is None or self.must_close or self.transport.is_closing():
+            return False
+        return self.on_result is None and not self.in_message
+
+    def send(
+        self,
+        request: bytes,
+        on_result: Callable[[ExchangeResult], None],
+        matches: Matches | None = None,
+        is_head: bool = False,
+    ) -> None:
+        """Send one request; the callback gets its result once."""
+        self.exchanges += 1
+        if self.transport is None or self.transport.is_closing():
+            on_result(Broken("the connection was closed before the request", False))
+            return
+        self.on_result = on_result
+        self.matches = matches
+        self.is_head = is_head
+        self.transport.write(request)
+
+    def abort(self) -> None:
+        """Close at once; a request on it gets no result."""
+        self.on_result = None
+        self.must_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self.on_result is None and not self.in_message:
+            # Bytes on an idle connection answer nothing.
+            self._fail("bytes without a request")
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("the peer switched protocols")
+        except httptools.HttpParserError as error:
+            self._fail(f"malformed answer: {type(error).__name__}")
+
+    def eof_received(self) -> bool:
+        """Take an answer that ends with its connection as complete."""
+        if self.in_message and not self.has_length and not self.is_head:
+            self.must_close = True
+            self.on_message_complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange that is in progress."""
+        self.transport = None
+        self.must_close = True
+        self._fail("the connection was lost" if exc is None else f"{type(exc).__name__}")
+        self.on_closed(self)
+
+    def on_message_begin(self) -> None:
+        """Start a new answer."""
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+        self.in_message = True
+        self.has_length = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        lower = name.lower()
+        if lower in (HEADER_CONTENT_LENGTH, HEADER_TRANSFER_ENCODING):
+            self.has_length = True
+        elif lower == HEADER_CONNECTION and b"close" in value.lower():
+            self.must_close = True
+        elif lower == HEADER_KEEP_ALIVE:
+            self.idle_timeout_s = keep_alive_timeout_s(value)
+        self.headers.append((lower, value))
+
+    def on_headers_complete(self) -> None:
+        """End an answer that has no body by its request's method."""
+        if self.is_head and self.on_result is not None:
+            self.must_close = True
+            self._complete()
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_ANSWER_BYTES:
+            self._fail("the answer is too large")
+            return
+        self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Report a complete answer, unless it belongs to another request."""
+        if not self.in_message:
+            return
+        if self.parser.get_status_code() < 200:
+            self.in_message = False
+            return
+        self._complete()
+
+    def _complete(self) -> None:
+        self.in_message = False
+        answer = HttpAnswer(self.parser.get_status_code(), self.headers, b"".join(self.body))
+        if self.on_result is None:
+            # A second answer behind the first one: nothing later on this connection can be trusted.
+            self._fail("an answer without a request")
+            return
+        if self.matches is not None and not self.matches(answer):
+            # A late answer to an earlier request; the own one follows it.
+            self.must_close = True
+            return
+        on_result = self.on_result
+        self.on_result = None
+        if not self.parser.should_keep_alive():
+            self.must_close = True
+        if self.must_close and self.transport is not None:
+            self.transport.close()
+        if self.is_idle():
+            # Free before the result is known, so that the next request finds this connection.
+            self.idle_since = asyncio.get_running_loop().time()
+            self.on_free(self)
+        on_result(answer)
+
+    def _fail(self, detail: str) -> None:
+        on_result = self.on_result
+        self.on_result = None
+        self.in_message = False
+        self.must_close = True
+        if self.transport is not None:
+            self.transport.abort()
+        if on_result is not None:
+            on_result(Broken(detail, True))
+
+
+def keep_alive_timeout_s(value: bytes) -> float | None:
+    """Return the idle time-out that a ``Keep-Alive`` header states, in seconds.
+
+    >>> keep_alive_timeout_s(b"timeout=5, max=100")
+    5.0
+    """
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -38,6 +38,42 @@
   retriesLeft @6 :UInt16;
 }
 
+struct Forward {
+  requestId @0 :Text;
+  method @1 :Text;
+  url @2 :Data;
+  service @3 :Text;
+  incarnation @4 :Text;
+  repeatable @5 :Bool;
+  rank @6 :UInt16;
+  remainingMs @7 :UInt32;
+  patienceMs @8 :UInt32;
+  headLines @9 :Data;
+  body @10 :Data;
+}
+
+struct ForwardOutcome {
+  union {
+    answer :group {
+      status @0 :UInt16;
+      headLines @1 :Data;
+      body @2 :Data;
+    }
+    notRun :group {
+      reason @3 :Text;
+      retryAfterMs @4 :UInt32;
+    }
+    unknown @5 :Text;
+  }
+}
+
+struct Load {
+  inFlight @0 :UInt32;
+  queued @1 :UInt32;
+  limit @2 :UInt32;
+  meanUs @3 :UInt32;
+}
+
 struct Message {
   union {
     hello :group {
@@ -78,5 +114,16 @@
       cancelledId @18 :UInt64;
     }
     goodbye @19 :Void;
+    forwardRequest :group {
+      forwardId @22 :UInt64;
+      forward @23 :Forward;
+    }
+    forwardReply :group {
+      forwardReplyTo @24 :UInt64;
+      forwardOutcome @25 :ForwardOutcome;
+      load @26 :Load;
+    }
+    ping @27 :Void;
+    pong @28 :Load;
   }
 }
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -0,0 +1,269 @@
+"""Sends requests to the own target over HTTP, from the queue in front of it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from jacinthsail.internal.adapters.http_client import (
+    Broken,
+    ExchangeResult,
+    HttpAnswer,
+    HttpClientConnection,
+)
+from jacinthsail.internal.commands.backlog import (
+    leave_queue,
+    put_in_queue,
+    record_duration,
+    record_end,
+    record_start,
+)
+from jacinthsail.internal.model.backlog import (
+    BacklogState,
+    Reject,
+    StartNow,
+    Wait,
+    WaitingForward,
+)
+from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
+from jacinthsail.internal.model.exchange import Forward, ForwardOutcome, TargetAnswer
+from jacinthsail.internal.queries.backlog import decide_backlog, expired_waiting, next_waiting
+
+CONNECT_TIMEOUT_S = 0.5
+
+# The target itself answers at the deadline that it was told; its answer needs some time to arrive.
+DEADLINE_SLACK_S = 0.25
+
+# Requests in the queue are checked for their time this often, while there are any.
+EXPIRY_INTERVAL_S = 0.025
+
+# Idle connections are closed this long before the target does, so that no request meets the close.
+IDLE_MARGIN_S = 1.0
+DEFAULT_IDLE_S = 5.0
+
+# A request that must not run twice is lost when its connection was dropped in the meantime, so it
+# uses only connections that were in use a moment ago.
+FRESH_IDLE_S = 1.0
+
+RETRY_AFTER_UNREACHABLE_S = 0.3
+
+OnOutcome = Callable[[ForwardOutcome], None]
+
+
+class TargetDialect(Protocol):
+    """How requests and answers look on the connection to the target."""
+
+    def encode(self, forward: Forward, remaining_s: float) -> bytes:
+        """Return the request as it is written."""
+
+    def decode(self, answer: HttpAnswer) -> ForwardOutcome:
+        """Return the outcome that an answer stands for."""
+
+    def is_answer_to(self, answer: HttpAnswer, forward: Forward) -> bool:
+        """Tell whether an answer belongs to a request."""
+
+
+class RunningForward:
+    """One request that this node was asked to run; ``cancel`` gives it up."""
+
+    __slots__ = ("target", "forward", "on_outcome", "waiting", "connection", "timer", "started_at")
+
+    def __init__(self, target: "OwnTarget", forward: Forward, on_outcome: OnOutcome) -> None:
+        self.target = target
+        self.forward = forward
+        self.on_outcome: OnOutcome | None = on_outcome
+        self.waiting: WaitingForward | None = None
+        self.connection: HttpClientConnection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.started_at = 0.0
+
+    def cancel(self) -> None:
+        """Drop a request that waits; stop one that runs if it may be run again."""
+        self.on_outcome = None
+        self.target.cancelled(self)
+
+
+class OwnTarget:
+    """The queue, the connections and the requests in flight of the own target."""
+
+    def __init__(self, backlog: BacklogState, dialect: TargetDialect, host: str, port: int) -> None:
+        self.backlog = backlog
+        self.dialect = dialect
+        self.host = host
+        self.port = port
+        self.idle: list[HttpClientConnection] = []
+        self.connections: set[HttpClientConnection] = set()
+        self.queued: dict[int, RunningForward] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.expiry: asyncio.TimerHandle | None = None
+        self.loop = asyncio.get_running_loop()
+        self.opened = 0
+
+    def submit(self, forward: Forward, on_outcome: OnOutcome) -> RunningForward:
+        """Run a request now or later, or reject it; the callback gets its outcome once."""
+        now = self.loop.time()
+        running = RunningForward(self, forward, on_outcome)
+        decision = decide_backlog(self.backlog, forward, now)
+        if isinstance(decision, Reject):
+            self._settle(running, NotRun(decision.reason, 0, decision.retry_after_s))
+            return running
+        deadline = now + forward.remaining_s
+        if isinstance(decision, StartNow):
+            self._start(running, deadline)
+            return running
+        self._wait(running, decision, now, deadline)
+        return running
+
+    def _wait(self, running: RunningForward, decision: Wait, now: float, deadline: float) -> None:
+        waiting = WaitingForward(
+            self.backlog["next_ticket"], running.forward, now, decision.expires_at, deadline
+        )
+        running.waiting = waiting
+        put_in_queue(self.backlog, waiting)
+        self.queued[waiting.ticket] = running
+        if self.expiry is None:
+            self.expiry = self.loop.call_later(EXPIRY_INTERVAL_S, self._expire)
+
+    def _expire(self) -> None:
+        self.expiry = None
+        for waiting in expired_waiting(self.backlog, self.loop.time()):
+            running = self._take_from_queue(waiting)
+            self._settle(running, NotRun(Reason.DEADLINE_TOO_SHORT, 0, RETRY_AFTER_UNREACHABLE_S))
+        if self.queued:
+            self.expiry = self.loop.call_later(EXPIRY_INTERVAL_S, self._expire)
+
+    def _take_from_queue(self, waiting: WaitingForward) -> RunningForward:
+        leave_queue(self.backlog, waiting)
+        running = self.queued.pop(waiting.ticket)
+        running.waiting = None
+        return running
+
+    def start_waiting(self) -> None:
+        """Start the requests for which there are free slots."""
+        while True:
+            waiting = next_waiting(self.backlog)
+            if waiting is None:
+                return
+            self._start(self._take_from_queue(waiting), waiting.deadline)
+
+    def refuse_waiting(self, reason: Reason) -> None:
+        """Refuse every request that waits, because none of them will be run here."""
+        for running in list(self.queued.values()):
+            assert running.waiting is not None
+            self._take_from_queue(running.waiting)
+            self._settle(running, NotRun(reason, 0, RETRY_AFTER_UNREACHABLE_S))
+
+    def _start(self, running: RunningForward, deadline: float) -> None:
+        now = self.loop.time()
+        record_start(self.backlog)
+        running.started_at = now
+        running.timer = self.loop.call_at(
+            deadline + DEADLINE_SLACK_S, self._end, running, Unknown(Reason.DEADLINE_EXPIRED, 0)
+        )
+        connection = self._idle_connection(running.forward, now)
+        if connection is not None:
+            self._send(running, connection, deadline)
+            return
+        task = self.loop.create_task(self._connect(running, deadline))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _idle_connection(self, forward: Forward, now: float) -> HttpClientConnection | None:
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.is_idle():
+                continue
+            idle_s = now - connection.idle_since
+            limit_s = (connection.idle_timeout_s or DEFAULT_IDLE_S + IDLE_MARGIN_S) - IDLE_MARGIN_S
+            if idle_s > limit_s:
+                connection.abort()
+                continue
+            if not forward.repeatable and idle_s > FRESH_IDLE_S:
+                self.idle.append(connection)
+                return None
+            return connection
+        return None
+
+    async def _connect(self, running: RunningForward, deadline: float) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self.loop.create_connection(
+                    lambda: HttpClientConnection(self._on_free, self._on_closed),
+                    self.host,
+                    self.port,
+                )
+        except (OSError, TimeoutError):
+            self._end(running, NotRun(Reason.TARGET_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
+            return
+        self.opened += 1
+        self.connections.add(connection)
+        if running.timer is None:
+            # The request was given up meanwhile; the connection serves the next one.
+            self._on_free(connection)
+            return
+        self._send(running, connection, deadline)
+
+    def _send(
+        self, running: RunningForward, connection: HttpClientConnection, deadline: float
+    ) -> None:
+        forward = running.forward
+        running.connection = connection
+        remaining_s = deadline - self.loop.time()
+        connection.send(
+            self.dialect.encode(forward, remaining_s),
+            lambda result: self._on_result(running, result),
+            lambda answer: self.dialect.is_answer_to(answer, forward),
+            forward.method == "HEAD",
+        )
+
+    def _on_result(self, running: RunningForward, result: ExchangeResult) -> None:
+        if isinstance(result, Broken):
+            if result.reached:
+                self._end(running, Unknown(Reason.INCOMPLETE_ANSWER, 0))
+            else:
+                self._end(running, NotRun(Reason.TARGET_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
+            return
+        outcome = self.dialect.decode(result)
+        if isinstance(outcome, TargetAnswer):
+            record_duration(self.backlog, self.loop.time() - running.started_at)
+        self._end(running, outcome)
+
+    def _end(self, running: RunningForward, outcome: ForwardOutcome) -> None:
+        if running.timer is None:
+            return
+        running.timer.cancel()
+        running.timer = None
+        if running.connection is not None and running.connection.on_result is not None:
+            # Closing the connection tells the target to stop.
+            running.connection.abort()
+        running.connection = None
+        record_end(self.backlog)
+        self._settle(running, outcome)
+        self.start_waiting()
+
+    def _settle(self, running: RunningForward, outcome: ForwardOutcome) -> None:
+        on_outcome = running.on_outcome
+        running.on_outcome = None
+        if on_outcome is not None:
+            on_outcome(outcome)
+
+    def cancelled(self, running: RunningForward) -> None:
+        """Give a request up whose caller went away."""
+        if running.waiting is not None:
+            self._take_from_queue(running.waiting)
+            return
+        if running.timer is not None and running.forward.repeatable:
+            self._end(running, Unknown(Reason.CALLER_GONE, 0))
+
+    def _on_free(self, connection: HttpClientConnection) -> None:
+        if connection.is_idle():
+            self.idle.append(connection)
+
+    def _on_closed(self, connection: HttpClientConnection) -> None:
+        self.connections.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for connection in list(self.connections):
+            connection.abort()
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -22,17 +22,23 @@
     Reason,
     Unknown,
 )
+from jacinthsail.internal.model.exchange import Forward, ForwardOutcome, TargetAnswer
+from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.messages import (
     Ask,
     CallReply,
     CallRequest,
     Cancel,
+    ForwardReply,
+    ForwardRequest,
     Goodbye,
     Heartbeat,
     Hello,
     ItemCopy,
     Message,
     Offer,
+    Ping,
+    Pong,
 )
 from jacinthsail.internal.model.replication import Item, ItemVersion
 
@@ -41,8 +47,11 @@
 
 LENGTH_PREFIX = struct.Struct("<I")
 
-# An item holds at most 1 MB and a call's body is limited to the same size by the front end.
-MAX_FRAME_BYTES = 2 * 1024 * 1024
+# An item holds at most 1 MB, the body of a forwarded request at most 16 MB; the rest is for heads.
+MAX_FRAME_BYTES = 20 * 1024 * 1024
+
+# Times and counts travel in 32 bits.
+MAX_UINT32 = 2**32 - 1
 
 # A peer could send a small frame that inflates without end; no published item exceeds 1 MB.
 MAX_ITEM_BYTES = 1024 * 1024
@@ -151,6 +160,81 @@
     builder.goodbye = None
 
 
+@_fill.register
+def _(message: ForwardRequest, builder: Any) -> None:
+    request = builder.init("forwardRequest")
+    request.forwardId = message.forward_id
+    forward = request.init("forward")
+    (
+        forward.requestId,
+        forward.method,
+        forward.url,
+        forward.service,
+        forward.incarnation,
+        forward.repeatable,
+        forward.rank,
+        remaining_s,
+        patience_s,
+        forward.headLines,
+        forward.body,
+    ) = message.forward
+    forward.remainingMs = milliseconds(remaining_s)
+    forward.patienceMs = milliseconds(patience_s)
+
+
+@_fill.register
+def _(message: ForwardReply, builder: Any) -> None:
+    reply = builder.init("forwardReply")
+    reply.forwardReplyTo = message.forward_id
+    _fill_load(message.load, reply.init("load"))
+    _fill_forward_outcome(message.outcome, reply.init("forwardOutcome"))
+
+
+@_fill.register
+def _(message: Ping, builder: Any) -> None:
+    builder.ping = None
+
+
+@_fill.register
+def _(message: Pong, builder: Any) -> None:
+    _fill_load(message.load, builder.init("pong"))
+
+
+def _fill_load(load: LoadReport, builder: Any) -> None:
+    builder.inFlight = load.in_flight
+    builder.queued = load.queued
+    builder.limit = load.limit
+    builder.meanUs = min(MAX_UINT32, int(load.mean_s * 1_000_000))
+
+
+def milliseconds(seconds: float) -> int:
+    """Return a time as it travels between nodes, in whole milliseconds."""
+    return min(MAX_UINT32, max(0, int(seconds * 1000)))
+
+
+@singledispatch
+def _fill_forward_outcome(outcome: object, builder: Any) -> None:
+    raise NotImplementedError(f"no encoding for {type(outcome).__name__}; register one")
+
+
+@_fill_forward_outcome.register
+def _(outcome: TargetAnswer, builder: Any) -> None:
+    answer = builder.init("answer")
+    answer.status, answer.headLines, answer.body = outcome
+
+
+@_fill_forward_outcome.register
+def _(outcome: NotRun, builder: Any) -> None:
+    not_run = builder.init("notRun")
+    not_run.reason = outcome.reason.value
+    not_run.retryAfterMs = milliseconds(outcome.retry_after_s)
+
+
+@_fill_forward_outcome.register
+def _(outcome: Unknown, builder: Any) -> None:
+    builder.unknown = outcome.reason.value
+
+
 def _fill_version(version: ItemVersion, builder: Any) -> None:
     builder.name = version.name
     builder.version = version.version
@@ -241,6 +325,56 @@
     return Goodbye()
 
 
+def _forward_request(reader: Any) -> Message:
+    request = reader.forwardRequest
+    forward = request.forward
+    return ForwardRequest(
+        request.forwardId,
+        Forward(
+            forward.requestId,
+            forward.method,
+            bytes(forward.url),
+            forward.service,
+            forward.incarnation,
+            forward.repeatable,
+            forward.rank,
+            forward.remainingMs / 1000,
+            forward.patienceMs / 1000,
+            bytes(forward.headLines),
+            bytes(forward.body),
+        ),
+    )
+
+
+def _forward_reply(reader: Any) -> Message:
+    reply = reader.forwardReply
+    outcome = _forward_outcome(reply.forwardOutcome)
+    return ForwardReply(reply.forwardReplyTo, outcome, _load(reply.load))
+
+
+def _forward_outcome(reader: Any) -> ForwardOutcome:
+    kind = reader.which()
+    if kind == "answer":
+        answer = reader.answer
+        return TargetAnswer(answer.status, bytes(answer.headLines), bytes(answer.body))
+    if kind == "notRun":
+        not_run = reader.notRun
+        return NotRun(Reason(not_run.reason), 0, not_run.retryAfterMs / 1000)
+    return Unknown(Reason(reader.unknown), 0)
+
+
+def _ping(_reader: Any) -> Message:
+    return Ping()
+
+
+def _pong(reader: Any) -> Message:
+    return Pong(_load(reader.pong))
+
+
+def _load(reader: Any) -> LoadReport:
+    return LoadReport(reader.inFlight, reader.queued, reader.limit, reader.meanUs / 1_000_000)
+
+
 def _item_version(reader: Any) -> ItemVersion:
     return ItemVersion(reader.name, reader.version, reader.digest)
 
@@ -275,4 +409,8 @@
     "callReply": _call_reply,
     "cancel": _cancel,
     "goodbye": _goodbye,
+    "forwardRequest": _forward_request,
+    "forwardReply": _forward_reply,
+    "ping": _ping,
+    "pong": _pong,
 }
--- /dev/null
+++ b/src/jacinthsail/internal/model/exchange.py
@@ -0,0 +1,111 @@
+"""HTTP requests of callers on their way through the nodes, and their outcomes."""
+
+from typing import NamedTuple, TypedDict
+
+from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
+from jacinthsail.internal.model.manifest import RoutePolicy
+
+
+class Forward(NamedTuple):
+    """A request as it travels between nodes.
+
+    ``head_lines`` are the header lines for the target, ready to be written. ``remaining_s`` is the
+    time left when the request leaves a node, ``patience_s`` how much of it may pass in a queue.
+    """
+
+    request_id: str
+    method: str
+    url: bytes
+    service: str
+    incarnation: str
+    repeatable: bool
+    rank: int
+    remaining_s: float
+    patience_s: float
+    head_lines: bytes
+    body: bytes
+
+
+class TargetAnswer(NamedTuple):
+    """The target's complete answer; ``head_lines`` are its header lines without the framing."""
+
+    status: int
+    head_lines: bytes
+    body: bytes
+
+
+ForwardOutcome = TargetAnswer | NotRun | Unknown
+
+
+class RequestFacts(NamedTuple):
+    """What the decisions need of a request that arrived from a caller."""
+
+    request_id: str
+    method: str
+    url: bytes
+    host: str
+    path: str
+    time_left_s: float | None
+
+
+class Exchange(TypedDict):
+    """One request at the node where it arrived; times are monotonic seconds.
+
+    ``deadline`` is when the caller gets an answer at the latest. ``tried`` holds the incarnations
+    that refused or failed it, ``sent`` how many targets were offered it. ``unsettled`` is set once
+    a send may have run without an answer.
+    """
+
+    facts: RequestFacts
+    route: RoutePolicy
+    service: str
+    arrived_at: float
+    deadline: float
+    tried: set[str]
+    sent: int
+    refusals: int
+    current: str
+    unsettled: bool
+
+
+class AnswerHere(NamedTuple):
+    """The node answers by itself; nothing was run."""
+
+    status: int
+    reason: Reason
+    retry_after_s: float
+
+
+class Begin(NamedTuple):
+    """The request has a route and a service."""
+
+    route: RoutePolicy
+    service: str
+    deadline: float
+
+
+EntryDecision = AnswerHere | Begin
+
+
+class Deliver(NamedTuple):
+    """The caller gets the target's answer."""
+
+    answer: TargetAnswer
+
+
+class SendAgain(NamedTuple):
+    """The request goes to another target; ``spends`` tells whether it counts as a repeat."""
+
+    reason: Reason
+    spends: bool
+
+
+class GiveUp(NamedTuple):
+    """The caller gets a final answer of this node."""
+
+    status: int
+    reason: Reason
+    retry_after_s: float
+
+
+NextStep = Deliver | SendAgain | GiveUp
--- a/src/jacinthsail/internal/model/messages.py
+++ b/src/jacinthsail/internal/model/messages.py
@@ -3,6 +3,8 @@
 from typing import NamedTuple
 
 from jacinthsail.internal.model.calls import Call, Outcome
+from jacinthsail.internal.model.exchange import Forward, ForwardOutcome
+from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.replication import Item, ItemVersion
 
 
@@ -78,4 +80,43 @@
     """The sender takes no new calls and closes after the last reply."""
 
 
-Message = Hello | Heartbeat | Offer | Ask | ItemCopy | CallRequest | CallReply | Cancel | Goodbye
+class ForwardRequest(NamedTuple):
+    """An HTTP request for the target beside the receiving node."""
+
+    forward_id: int
+    forward: Forward
+
+
+class ForwardReply(NamedTuple):
+    """The outcome of a forwarded request, with the load at the target."""
+
+    forward_id: int
+    outcome: ForwardOutcome
+    load: LoadReport
+
+
+class Ping(NamedTuple):
+    """Asks for a sign of life."""
+
+
+class Pong(NamedTuple):
+    """A sign of life, with the load at the target."""
+
+    load: LoadReport
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | Offer
+    | Ask
+    | ItemCopy
+    | CallRequest
+    | CallReply
+    | Cancel
+    | Goodbye
+    | ForwardRequest
+    | ForwardReply
+    | Ping
+    | Pong
+)
--- /dev/null
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -0,0 +1,94 @@
+"""Decides what follows the outcome of one send of a request."""
+
+from functools import singledispatch
+
+from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
+from jacinthsail.internal.model.document import Execution
+from jacinthsail.internal.model.exchange import (
+    Deliver,
+    Exchange,
+    GiveUp,
+    NextStep,
+    SendAgain,
+    TargetAnswer,
+)
+from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.queries.repeats import may_repeat
+
+STATUS_BAD_GATEWAY = 502
+STATUS_NOT_RUN = 503
+STATUS_TIMEOUT = 504
+
+# Statuses of a target that another target may turn into a success.
+REPEATED_STATUSES = frozenset({500, 502, 503})
+
+# Another target needs about this share of the route's target latency to answer.
+MIN_REPEAT_SHARE = 0.1
+
+# Nodes that may refuse one request before its caller is told; each costs a round trip.
+MAX_REFUSALS = 3
+
+# The target itself was offered the request and said that it did not run it.
+REFUSED_BY_TARGET = frozenset({Reason.TARGET_REFUSED, Reason.TARGET_MISDIRECTED})
+
+
+@singledispatch
+def next_step(outcome: object, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
+    """Return what follows an outcome."""
+    raise NotImplementedError(f"no next step after {type(outcome).__name__}; register one")
+
+
+@next_step.register
+def _(outcome: TargetAnswer, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
+    if outcome.status not in REPEATED_STATUSES:
+        return Deliver(outcome)
+    if is_repeatable(exchange) and can_repeat(exchange, repeats, now):
+        return SendAgain(Reason.TARGET_ANSWERED, spends=True)
+    return Deliver(outcome)
+
+
+@next_step.register
+def _(outcome: NotRun, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
+    if outcome.reason in REFUSED_BY_TARGET:
+        if can_repeat(exchange, repeats, now):
+            return SendAgain(outcome.reason, spends=True)
+    elif exchange["refusals"] < MAX_REFUSALS and has_time(exchange, now):
+        return SendAgain(outcome.reason, spends=False)
+    return give_up_after_not_run(outcome.reason, exchange, outcome.retry_after_s)
+
+
+@next_step.register
+def _(outcome: Unknown, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
+    if is_repeatable(exchange) and can_repeat(exchange, repeats, now):
+        return SendAgain(outcome.reason, spends=True)
+    if now >= exchange["deadline"]:
+        return GiveUp(STATUS_TIMEOUT, outcome.reason, 0.0)
+    return GiveUp(STATUS_BAD_GATEWAY, outcome.reason, 0.0)
+
+
+def give_up_after_not_run(reason: Reason, exchange: Exchange, retry_after_s: float) -> GiveUp:
+    """Return the final answer when the last target did not run the request.
+
+    An earlier send of a repeatable request may have run, and then nothing is promised.
+    """
+    if exchange["unsettled"]:
+        return GiveUp(STATUS_BAD_GATEWAY, reason, 0.0)
+    return GiveUp(STATUS_NOT_RUN, reason, retry_after_s)
+
+
+def is_repeatable(exchange: Exchange) -> bool:
+    """Tell whether the request may run more than once."""
+    return exchange["route"].execution is Execution.REPEATABLE
+
+
+def has_time(exchange: Exchange, now: float) -> bool:
+    """Tell whether another target could still answer in time."""
+    needed_s = MIN_REPEAT_SHARE * exchange["route"].target_latency_s
+    return exchange["deadline"] - now > needed_s
+
+
+def can_repeat(exchange: Exchange, repeats: RepeatState, now: float) -> bool:
+    """Tell whether the request may be offered to one more target."""
+    if exchange["sent"] >= exchange["route"].max_attempts or not has_time(exchange, now):
+        return False
+    return may_repeat(repeats, exchange["service"], now)
--- /dev/null
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -0,0 +1,137 @@
+"""Chooses the target that takes a call: near ones first, further ones when callers gain by it."""
+
+from random import Random
+
+from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.exchange import Exchange
+from jacinthsail.internal.model.fleet import (
+    Candidate,
+    FleetState,
+    NodePlace,
+    NoTarget,
+    SendToNode,
+    SendToOwnTarget,
+    TargetChoice,
+    TargetEntry,
+    TargetView,
+)
+from jacinthsail.internal.model.membership import Distance
+
+# Typical round trips plus the cost of the bytes, as time that a caller would wait instead.
+DISTANCE_COST_S = {
+    Distance.OWN_DOMAIN: 0.0,
+    Distance.OWN_REGION: 0.01,
+    Distance.OTHER_REGION: 0.04,
+}
+
+# A target nearby is good enough while its answer is expected within this share of the time in which
+# it has its full value; the rest covers the spread of the times.
+NEAR_SHARE = 0.6
+
+# A report older than this says little of the queue, so calls may probe the target again.
+REPORT_VALID_S = 0.5
+
+# Assumed of a target that has not reported yet.
+DEFAULT_MEAN_S = 0.05
+
+# Without any target the list of targets may change within its usual delay.
+RETRY_WITHOUT_TARGET_S = 0.5
+
+# Expected waits closer than this are treated as equal, so that nodes do not all choose one target.
+EQUAL_WAIT_S = 0.005
+
+
+def choose_target(
+    fleet: FleetState, place: NodePlace, exchange: Exchange, now: float, random: Random
+) -> TargetChoice:
+    """Return where a request goes next."""
+    candidates = candidates_for(fleet, place, exchange, now)
+    if not candidates:
+        return NoTarget(Reason.NO_TARGET, RETRY_WITHOUT_TARGET_S)
+    enough_s = NEAR_SHARE * exchange["route"].target_latency_s
+    best: Candidate | None = None
+    for distance in Distance:
+        group = [candidate for candidate in candidates if candidate.distance is distance]
+        nearest = soonest(group, random)
+        if nearest is None:
+            continue
+        if nearest.expected_s <= enough_s:
+            return choice_of(nearest)
+        if best is None or cost_of(nearest) < cost_of(best):
+            best = nearest
+    assert best is not None, "there is a candidate at some distance"
+    return choice_of(best)
+
+
+def choice_of(candidate: Candidate) -> TargetChoice:
+    """Return the choice that leads to a candidate."""
+    if candidate.is_own:
+        return SendToOwnTarget(candidate.entry)
+    return SendToNode(candidate.entry)
+
+
+def cost_of(candidate: Candidate) -> float:
+    """Return the expected time with what the distance costs beside it."""
+    return candidate.expected_s + DISTANCE_COST_S[candidate.distance]
+
+
+def soonest(group: list[Candidate], random: Random) -> Candidate | None:
+    """Return the candidate that answers soonest, any of those that are about equal."""
+    if not group:
+        return None
+    best_s = min(candidate.expected_s for candidate in group)
+    equal = [one for one in group if one.expected_s <= best_s + EQUAL_WAIT_S]
+    return equal[0] if len(equal) == 1 else random.choice(equal)
+
+
+def candidates_for(
+    fleet: FleetState, place: NodePlace, exchange: Exchange, now: float
+) -> list[Candidate]:
+    """Return the targets that may take the request, suspected ones only if there are no others."""
+    usable = []
+    suspected = []
+    for entry in fleet["by_service"].get(exchange["service"], ()):
+        if entry.leaving or entry.incarnation in exchange["tried"]:
+            continue
+        view = fleet["views"].get(entry.incarnation)
+        if view is not None and view["draining"]:
+            continue
+        candidate = candidate_of(entry, view, place, now)
+        if view is not None and now < view["suspected_until"]:
+            suspected.append(candidate)
+            continue
+        usable.append(candidate)
+    return usable or suspected
+
+
+def candidate_of(
+    entry: TargetEntry, view: TargetView | None, place: NodePlace, now: float
+) -> Candidate:
+    """Return a target with the time that its answer is expected to take."""
+    is_own = entry.host == place.host
+    wait_s = 0.0
+    mean_s = DEFAULT_MEAN_S
+    if view is not None:
+        wait_s = expected_wait_s(view, entry, now)
+        mean_s = view["report"].mean_s or DEFAULT_MEAN_S
+    distance = distance_to(entry, place)
+    return Candidate(entry, distance, is_own, wait_s + mean_s, wait_s)
+
+
+def expected_wait_s(view: TargetView, entry: TargetEntry, now: float) -> float:
+    """Return how long a call would wait for a slot, from the last report and the calls since."""
+    report = view["report"]
+    limit = report.limit or entry.slots
+    load = view["in_flight"]
+    if now - view["reported_at"] <= REPORT_VALID_S:
+        load = max(load, report.in_flight + report.queued)
+    return max(0, load + 1 - limit) * (report.mean_s or DEFAULT_MEAN_S) / max(1, limit)
+
+
+def distance_to(entry: TargetEntry, place: NodePlace) -> Distance:
+    """Return how far a target is from this node."""
+    if entry.failure_domain == place.failure_domain:
+        return Distance.OWN_DOMAIN
+    if entry.region == place.region:
+        return Distance.OWN_REGION
+    return Distance.OTHER_REGION
--- /dev/null
+++ b/src/jacinthsail/platform/daemon.py
@@ -0,0 +1,51 @@
+"""Entry point of a node on the users' platform."""
+
+import os
+import sys
+
+from returns.result import Failure, Result, Success
+
+from jacinthsail.errors import ConfigurationError, MissingKey, describe
+from jacinthsail.internal.adapters.files import read_text
+from jacinthsail.internal.adapters.fleet_node import FleetNode, PlatformDialects
+from jacinthsail.internal.adapters.process import STANDARD_OUTPUT, serve
+from jacinthsail.platform import names
+from jacinthsail.platform.http import CallerHttp, TargetHttp
+from jacinthsail.platform.settings import PlatformSettings, decode_settings
+from jacinthsail.platform.store import PlatformStore
+
+EXIT_BAD_SETTINGS = 2
+
+
+def read_settings() -> Result[PlatformSettings, ConfigurationError]:
+    """Return the settings in the file that the platform names."""
+    path = os.environ.get(names.SETTINGS_VARIABLE, "")
+    if not path:
+        return Failure(MissingKey("environment", names.SETTINGS_VARIABLE))
+    match read_text(path):
+        case Success(body):
+            return decode_settings(body, path)
+        case Failure(error):
+            return Failure(error)
+    raise AssertionError("a result is a success or a failure")
+
+
+def main() -> int:
+    """Run the node until it is told to stop."""
+    match read_settings():
+        case Success(settings):
+            store = PlatformStore(settings.node.store, settings.regions)
+            dialects = PlatformDialects(CallerHttp(), TargetHttp(), store)
+            serve(
+                lambda loop: FleetNode(settings.node, dialects, loop=loop),
+                settings.node.log_buffer_lines,
+                STANDARD_OUTPUT,
+            )
+            return 0
+        case Failure(error):
+            print(describe(error), file=sys.stderr)
+    return EXIT_BAD_SETTINGS
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/jacinthsail/platform/store.py
@@ -0,0 +1,171 @@
+"""Calls of the platform's store."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import quote
+
+from returns.result import Failure, Success
+
+from jacinthsail.internal.adapters.http_client import (
+    Broken,
+    ExchangeResult,
+    HttpAnswer,
+    HttpClientConnection,
+)
+from jacinthsail.internal.model.settings import Endpoint
+from jacinthsail.internal.model.store import (
+    Changes,
+    HistoryGone,
+    Listing,
+    ManifestPublished,
+    StoreAnswer,
+    StoreChange,
+    StoreUnavailable,
+    TargetPublished,
+    TargetRemoved,
+    Unreadable,
+)
+from jacinthsail.internal.queries.store_reading import WATCH_WAIT_S
+from jacinthsail.platform import names
+from jacinthsail.platform.decoding import DECODE_ERRORS, decode_manifest, decode_target
+
+# The store answers within milliseconds; a slow one answers within some hundred.
+ANSWER_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+
+STATUS_OK = 200
+STATUS_HISTORY_GONE = 410
+
+_STORE_ERRORS = (OSError, TimeoutError)
+
+
+class PlatformStore:
+    """The store, over one connection that is opened again when it breaks."""
+
+    def __init__(self, address: Endpoint, regions: Mapping[str, str]) -> None:
+        self.address = address
+        self.regions = regions
+        self.connection: HttpClientConnection | None = None
+
+    async def read_listing(self) -> StoreAnswer:
+        """Read everything that is published, page by page."""
+        changes: list[StoreChange] = []
+        listed: set[str] = set()
+        revision: int | None = None
+        after = ""
+        while True:
+            page = await self._get(f"{names.RANGE_PATH}?prefix=&after={quote(after)}")
+            if isinstance(page, StoreUnavailable):
+                return page
+            try:
+                for item in page["items"]:
+                    self._collect(item, changes, listed)
+                    after = item["key"]
+                if revision is None:
+                    revision = int(page["asOf"])
+                if not page["hasMore"] or not page["items"]:
+                    return Listing(tuple(changes), frozenset(listed), revision)
+            except DECODE_ERRORS as error:
+                return StoreUnavailable(f"undecodable page: {type(error).__name__}: {error}")
+
+    async def read_changes(self, after: int) -> StoreAnswer:
+        """Wait for changes after a revision."""
+        wait_ms = int(WATCH_WAIT_S * 1000)
+        path = f"{names.WATCH_PATH}?prefix=&after={after}&waitMs={wait_ms}"
+        answer = await self._get(path, WATCH_WAIT_S + ANSWER_TIMEOUT_S)
+        if isinstance(answer, StoreUnavailable):
+            return HistoryGone() if answer.status == STATUS_HISTORY_GONE else answer
+        changes: list[StoreChange] = []
+        try:
+            for event in answer["events"]:
+                self._collect(event, changes, set())
+            return Changes(tuple(changes), int(answer["asOf"]))
+        except DECODE_ERRORS as error:
+            return StoreUnavailable(f"undecodable changes: {type(error).__name__}: {error}")
+
+    def _collect(self, item: Any, changes: list[StoreChange], listed: set[str]) -> None:
+        """Decode one item or event; a fault in it leaves the others as they are."""
+        key = item["key"]
+        if not isinstance(key, str):
+            raise TypeError(f"key {key!r} is not a text")
+        incarnation = key.removeprefix(names.TARGETS_PREFIX)
+        if incarnation != key:
+            listed.add(incarnation)
+        if item.get("deleted"):
+            if incarnation != key:
+                changes.append(TargetRemoved(incarnation))
+            return
+        if key != names.MANIFEST_KEY and incarnation == key:
+            return
+        try:
+            value = base64.b64decode(item["value"], validate=True)
+        except DECODE_ERRORS as error:
+            changes.append(Unreadable(key, f"{type(error).__name__}: {error}"))
+            return
+        changes.append(self._decode(key, incarnation, value))
+
+    def _decode(self, key: str, incarnation: str, value: bytes) -> StoreChange:
+        if key == names.MANIFEST_KEY:
+            match decode_manifest(value):
+                case Success(manifest):
+                    return ManifestPublished(manifest)
+                case Failure(error):
+                    return Unreadable(key, error.detail)
+        match decode_target(incarnation, value, self.regions):
+            case Success(entry):
+                return TargetPublished(entry)
+            case Failure(error):
+                return Unreadable(key, error.detail)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _get(self, path: str, timeout_s: float = ANSWER_TIMEOUT_S) -> Any:
+        try:
+            connection = await self._connected()
+            async with asyncio.timeout(timeout_s):
+                result = await self._exchange(connection, path)
+        except _STORE_ERRORS as error:
+            self._drop()
+            return StoreUnavailable(type(error).__name__)
+        if isinstance(result, Broken):
+            return StoreUnavailable(result.detail)
+        if result.status != STATUS_OK:
+            return StoreUnavailable(f"status {result.status}", result.status)
+        try:
+            return json.loads(result.body)
+        except ValueError as error:
+            return StoreUnavailable(f"undecodable answer: {error}")
+
+    async def _exchange(self, connection: HttpClientConnection, path: str) -> ExchangeResult:
+        waiter: asyncio.Future[HttpAnswer | Broken] = asyncio.get_running_loop().create_future()
+
+        def on_result(result: ExchangeResult) -> None:
+            if not waiter.done():
+                waiter.set_result(result)
+
+        request = f"GET {path} HTTP/1.1\r\nHost: {self.address.host}\r\n\r\n"
+        connection.send(request.encode("ascii"), on_result)
+        return await waiter
+
+    async def _connected(self) -> HttpClientConnection:
+        if self.connection is not None and self.connection.is_idle():
+            return self.connection
+        self._drop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, self.connection = await asyncio.get_running_loop().create_connection(
+                lambda: HttpClientConnection(_ignore, _ignore),
+                self.address.host,
+                self.address.port,
+            )
+        return self.connection
+
+    def _drop(self) -> None:
+        if self.connection is not None:
+            self.connection.abort()
+        self.connection = None
+
+
+def _ignore(_connection: HttpClientConnection) -> None:
+    """Nothing waits for the connection to the store to become free."""
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -4,16 +4,22 @@
 
 from jacinthsail.internal.adapters.wire import LENGTH_PREFIX, decode_payload, encode_frame
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason, Unknown
+from jacinthsail.internal.model.exchange import Forward, TargetAnswer
+from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.messages import (
     Ask,
     CallReply,
     CallRequest,
     Cancel,
+    ForwardReply,
+    ForwardRequest,
     Goodbye,
     Heartbeat,
     Hello,
     ItemCopy,
     Offer,
+    Ping,
+    Pong,
 )
 from jacinthsail.internal.model.replication import Item, ItemVersion
 from tests.common.checking import call_head
@@ -30,6 +36,15 @@
     CallReply(9, Unknown(Reason.PEER_SILENT, 0), 4),
     Cancel(9),
     Goodbye(),
+    ForwardRequest(
+        9,
+        Forward("id", "GET", b"/a/b", "drafts", "i-1", True, 2, 1.5, 0.25, b"A: b\r\n", b"body"),
+    ),
+    ForwardReply(9, TargetAnswer(200, b"A: b\r\n", b"body"), LoadReport(3, 4, 5, 0.25)),
+    ForwardReply(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LoadReport(3, 4, 5, 0.25)),
+    ForwardReply(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LoadReport(3, 4, 5, 0.25)),
+    Ping(),
+    Pong(LoadReport(3, 4, 5, 0.25)),
 )
 
 
