Prove the platform's path against stand-ins, and end lapses without a read

Cause: a target that lapsed while the store was away was kept until the next answer of the store, which may take the whole wait of a watch.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from random import Random
 from typing import Any, NamedTuple
 from uuid import uuid4
 
 import mode
+from returns.result import Failure, Result, Success
 
+from jacinthsail.errors import ConfigurationError, describe
 from jacinthsail.internal.adapters.entry import CallerDialect, Entry
 from jacinthsail.internal.adapters.http_server import (
     SWEEP_S,
@@ -25,6 +28,7 @@
 from jacinthsail.internal.commands.backlog import set_slots, set_target_leaving, stop_new_work
 from jacinthsail.internal.commands.fleet import record_load
 from jacinthsail.internal.commands.repeats import set_budget
+from jacinthsail.internal.commands.store_reading import end_lapses
 from jacinthsail.internal.model.backlog import BacklogState
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import LoadReport
@@ -55,6 +59,9 @@
 
 STOP_POLL_S = 0.05
 
+# The settings file may change without a signal; reading it costs less than 1 ms.
+SETTINGS_INTERVAL_S = 2.0
+
 
 class PlatformDialects(NamedTuple):
     """How callers, targets and the store of the platform speak."""
@@ -64,12 +71,22 @@
     store: StoreClient
 
 
+ReadSettings = Callable[[], Result[FleetSettings, ConfigurationError]]
+
+
 class FleetNode(mode.Service):
     """One node beside one target."""
 
-    def __init__(self, settings: FleetSettings, dialects: PlatformDialects, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        settings: FleetSettings,
+        dialects: PlatformDialects,
+        read_settings: ReadSettings,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(**kwargs)
         self.settings = settings
+        self.read_settings = read_settings
         self.dialects = dialects
 
     async def on_first_start(self) -> None:
@@ -174,12 +191,33 @@
         respond(HttpResponse(200, lines.encode("ascii"), content))
         return None
 
+    def reload_settings(self) -> None:
+        """Read the settings again; ports stay as they are until the next start."""
+        match self.read_settings():
+            case Success(settings):
+                if settings == self.settings:
+                    return
+                self.settings = settings
+                self.entry.place = settings.place
+                self.on_published()
+                _LOG.info("settings were read again; service %s", settings.place.service)
+            case Failure(error):
+                _LOG.error("settings were not taken, the earlier ones stay: %s", describe(error))
+
+    @mode.Service.task
+    async def follow_settings(self) -> None:
+        """Take over settings that changed without a signal."""
+        while not self.should_stop:
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+            self.reload_settings()
+
     @mode.Service.task
     async def sweep(self) -> None:
-        """Close connections of callers that are idle or slow."""
+        """Close connections of idle or slow callers; forget targets that did not come back."""
         loop = asyncio.get_running_loop()
         while not self.should_stop:
             await asyncio.sleep(SWEEP_S)
+            end_lapses(self.fleet, loop.time())
             self.callers_port.sweep(loop.time())
             self.readiness_port.sweep(loop.time())
             self.metrics_port.sweep(loop.time())
--- a/src/jacinthsail/internal/adapters/process.py
+++ b/src/jacinthsail/internal/adapters/process.py
@@ -17,6 +17,8 @@
 STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
 
+_LOG = logging.getLogger("jacinthsail.process")
+
 NewNode = Callable[[asyncio.AbstractEventLoop], mode.Service]
 
 
@@ -51,6 +53,16 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node)
     await node.start()
     await node.wait(stop.wait())
     await node.stop()
+
+
+def _reload(node: mode.Service) -> None:
+    """Let a node read its settings again; one that cannot keeps those it has."""
+    reload_settings = getattr(node, "reload_settings", None)
+    if reload_settings is None:
+        _LOG.info("SIGHUP was received; settings are read only at the start")
+        return
+    reload_settings()
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -8,7 +8,7 @@
 
 import mode
 
-from jacinthsail.internal.commands.store_reading import apply_answer, end_lapses
+from jacinthsail.internal.commands.store_reading import apply_answer
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import (
     Changes,
@@ -76,7 +76,6 @@
         failures = self.reading["failures"]
         version = self._version()
         apply_answer(answer, self.reading, self.fleet, now)
-        end_lapses(self.fleet, now)
         self._log(answer, failures, version)
         self.on_change()
 
--- a/src/jacinthsail/platform/daemon.py
+++ b/src/jacinthsail/platform/daemon.py
@@ -9,6 +9,7 @@
 from jacinthsail.internal.adapters.files import read_text
 from jacinthsail.internal.adapters.fleet_node import FleetNode, PlatformDialects
 from jacinthsail.internal.adapters.process import STANDARD_OUTPUT, serve
+from jacinthsail.internal.model.fleet_settings import FleetSettings
 from jacinthsail.platform import names
 from jacinthsail.platform.http import CallerHttp, TargetHttp
 from jacinthsail.platform.settings import PlatformSettings, decode_settings
@@ -30,6 +31,11 @@
     raise AssertionError("a result is a success or a failure")
 
 
+def read_node_settings() -> Result[FleetSettings, ConfigurationError]:
+    """Return the settings of the node as they are now."""
+    return read_settings().map(lambda settings: settings.node)
+
+
 def main() -> int:
     """Run the node until it is told to stop."""
     match read_settings():
@@ -37,7 +43,7 @@
             store = PlatformStore(settings.node.store, settings.regions)
             dialects = PlatformDialects(CallerHttp(), TargetHttp(), store)
             serve(
-                lambda loop: FleetNode(settings.node, dialects, loop=loop),
+                lambda loop: FleetNode(settings.node, dialects, read_node_settings, loop=loop),
                 settings.node.log_buffer_lines,
                 STANDARD_OUTPUT,
             )
--- /dev/null
+++ b/tests/common/fleets.py
@@ -0,0 +1,127 @@
+"""Targets, routes and requests for tests of the platform front end."""
+
+from jacinthsail.internal.commands.fleet import install_manifest, put_target
+from jacinthsail.internal.model.backlog import BacklogState
+from jacinthsail.internal.model.document import Execution
+from jacinthsail.internal.model.exchange import Exchange, Forward, RequestFacts
+from jacinthsail.internal.model.fleet import NodePlace, TargetEntry
+from jacinthsail.internal.model.manifest import (
+    Branch,
+    ClientLimits,
+    Manifest,
+    RoutePolicy,
+    ServiceTerms,
+)
+from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.queries.fleet_view import new_fleet
+
+PLACE = NodePlace("node-1", "10.0.0.1", "manila", "luzon", "drafts", 8000)
+LIMITS = ClientLimits(16384, 1 << 20, 3.0, 15.0)
+
+
+def route(
+    name="lookup",
+    prefix="/a/",
+    services=("seals",),
+    execution=Execution.REPEATABLE,
+    timeout_s=2.0,
+    target_latency_s=0.5,
+    priority=1,
+    max_attempts=2,
+    weights=None,
+):
+    shares = weights or [1.0] * len(services)
+    branches = tuple(Branch(*pair) for pair in zip(services, shares, strict=True))
+    return RoutePolicy(
+        name,
+        "h.example",
+        prefix,
+        branches,
+        execution,
+        timeout_s,
+        target_latency_s,
+        priority,
+        max_attempts,
+    )
+
+
+def manifest(version, *routes):
+    services = {"seals": ServiceTerms("seals", "/healthz", 172)}
+    return Manifest(version, routes, services, LIMITS)
+
+
+def target(
+    incarnation,
+    host="10.0.0.9",
+    failure_domain="manila",
+    region="luzon",
+    service="seals",
+    slots=10,
+    leaving=False,
+    port=8000,
+):
+    return TargetEntry(
+        incarnation, service, host, port, failure_domain, region, slots, leaving, 0.0
+    )
+
+
+def fleet(*targets, routes=()):
+    state = new_fleet()
+    install_manifest(state, manifest(1, *routes))
+    for entry in targets:
+        put_target(state, entry)
+    return state
+
+
+def facts(path="/a/x", time_left_s=None, request_id="r-1"):
+    return RequestFacts(request_id, "GET", path.encode(), "h.example", path, time_left_s)
+
+
+def exchange(policy=None, now=0.0, service="seals"):
+    policy = policy or route()
+    return Exchange(
+        facts=facts(),
+        route=policy,
+        service=service,
+        arrived_at=now,
+        deadline=now + policy.timeout_s,
+        tried=set(),
+        sent=0,
+        refusals=0,
+        current="",
+        unsettled=False,
+    )
+
+
+def forward(rank=1, patience_s=1.0, request_id="r-1", repeatable=True, remaining_s=2.0):
+    return Forward(
+        request_id=request_id,
+        method="GET",
+        url=b"/a/x",
+        service="seals",
+        incarnation="i-1",
+        repeatable=repeatable,
+        rank=rank,
+        remaining_s=remaining_s,
+        patience_s=patience_s,
+        head_lines=b"Host: h.example\r\n",
+        body=b"",
+    )
+
+
+def backlog(slots=2, mean_s=0.1):
+    return BacklogState(
+        slots=slots,
+        in_flight=0,
+        waiting=[],
+        tickets={},
+        waiting_by_rank={},
+        next_ticket=1,
+        mean_s=mean_s,
+        draining=False,
+        stopped=False,
+    )
+
+
+def repeats(ratio=0.2, window_s=10.0, extra=5.0):
+    return RepeatState(by_service={}, ratio=ratio, window_s=window_s, extra=extra)
--- /dev/null
+++ b/tests/fast/test_backlog.py
@@ -0,0 +1,101 @@
+"""Guards the queue in front of the own target."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthsail.internal.commands.backlog import (
+    leave_queue,
+    put_in_queue,
+    record_end,
+    record_start,
+    set_target_leaving,
+)
+from jacinthsail.internal.model.backlog import Reject, StartNow, Wait, WaitingForward
+from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.queries.backlog import (
+    decide_backlog,
+    expired_waiting,
+    load_report,
+    next_waiting,
+)
+from tests.common.fleets import backlog, forward
+
+STEADY = settings(derandomize=True, deadline=None, max_examples=100)
+
+
+def enqueue(state, one, now=0.0):
+    waiting = WaitingForward(state["next_ticket"], one, now, now + one.patience_s, now + 2.0)
+    put_in_queue(state, waiting)
+    return waiting
+
+
+def full(slots=2, mean_s=0.1):
+    state = backlog(slots, mean_s)
+    for _ in range(slots):
+        record_start(state)
+    return state
+
+
+class BacklogTest(unittest.TestCase):
+    def test_free_slot_starts_at_once(self):
+        """A request must not wait while the target has room."""
+        self.assertIsInstance(decide_backlog(backlog(), forward(), 0.0), StartNow)
+
+    def test_full_target_lets_requests_wait(self):
+        """A request beyond the slots would queue at the target, where rank orders nothing."""
+        self.assertEqual(decide_backlog(full(), forward(patience_s=0.5), 1.0), Wait(1.5))
+
+    def test_request_that_would_wait_too_long_is_rejected_at_once(self):
+        """A caller that is refused after it waited has lost that time."""
+        state = full()
+        for _ in range(20):
+            enqueue(state, forward())
+        decision = decide_backlog(state, forward(patience_s=0.5), 0.0)
+        self.assertIsInstance(decision, Reject)
+        self.assertGreater(decision.retry_after_s, 0.5)
+
+    def test_important_request_does_not_wait_for_others(self):
+        """A filing would be refused because lookups fill the queue."""
+        state = full()
+        for _ in range(20):
+            enqueue(state, forward(rank=2))
+        self.assertIsInstance(decide_backlog(state, forward(rank=0, patience_s=0.5), 0.0), Wait)
+        important = enqueue(state, forward(rank=0))
+        record_end(state)
+        self.assertEqual(next_waiting(state), important)
+
+    def test_leaving_target_takes_nothing_new(self):
+        """A target that leaves must not get new work from its own node either."""
+        state = backlog()
+        set_target_leaving(state, True)
+        self.assertEqual(decide_backlog(state, forward(), 0.0).reason, Reason.DRAINING)
+
+    def test_expired_requests_are_found(self):
+        """A request must not be held once it cannot be served."""
+        state = full()
+        waiting = enqueue(state, forward(patience_s=0.5))
+        self.assertEqual(expired_waiting(state, 0.4), ())
+        self.assertEqual(expired_waiting(state, 0.5), (waiting,))
+
+    @STEADY
+    @given(st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=60))
+    def test_queue_serves_by_rank_then_by_arrival(self, events):
+        """A given-up request must leave no trace that blocks or reorders the others."""
+        state = full(slots=1)
+        expected = []
+        for rank, gives_up in events:
+            waiting = enqueue(state, forward(rank=rank))
+            if gives_up:
+                leave_queue(state, waiting)
+                continue
+            expected.append((rank, waiting.ticket))
+        record_end(state)
+        served = []
+        while (waiting := next_waiting(state)) is not None:
+            leave_queue(state, waiting)
+            served.append((waiting.forward.rank, waiting.ticket))
+        self.assertEqual(served, sorted(expected))
+        self.assertEqual(load_report(state).queued, 0)
+        self.assertEqual(sum(state["waiting_by_rank"].values()), 0)
--- /dev/null
+++ b/tests/fast/test_entry_decisions.py
@@ -0,0 +1,204 @@
+"""Guards routing, choice of targets and repeats at the node where a request arrives."""
+
+import unittest
+from collections import Counter
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthsail.internal.commands.fleet import (
+    advance_split,
+    put_target,
+    record_call_sent,
+    record_draining,
+    record_load,
+    record_target_failure,
+)
+from jacinthsail.internal.commands.repeats import record_first, record_repeat
+from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
+from jacinthsail.internal.model.document import Execution
+from jacinthsail.internal.model.exchange import (
+    AnswerHere,
+    Begin,
+    Deliver,
+    GiveUp,
+    SendAgain,
+    TargetAnswer,
+)
+from jacinthsail.internal.model.fleet import LoadReport, NoTarget, SendToNode, SendToOwnTarget
+from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.manifest_routes import decide_entry, route_of
+from jacinthsail.internal.queries.next_steps import next_step
+from jacinthsail.internal.queries.repeats import may_repeat
+from jacinthsail.internal.queries.target_choice import choose_target
+from tests.common.fleets import PLACE, exchange, facts, fleet, repeats, route, target
+
+STEADY = settings(derandomize=True, deadline=None, max_examples=100)
+
+OK = TargetAnswer(200, b"", b"x")
+FAILED = TargetAnswer(500, b"", b"")
+
+
+def with_budget():
+    counts = repeats(extra=50.0)
+    record_first(counts, "seals", 0.0)
+    return counts
+
+
+class RoutesTest(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        """A request on a nested prefix would run at the wrong service."""
+        state = fleet(routes=(route("outer", "/a/"), route("inner", "/a/b/")))
+        for path, name in (("/a/x", "outer"), ("/a/b/x", "inner"), ("/a/bx", "outer")):
+            with self.subTest(path=path):
+                self.assertEqual(route_of(state["routes"], "h.example", path).name, name)
+        self.assertIsNone(route_of(state["routes"], "h.example", "/b/a/"))
+        self.assertIsNone(route_of(state["routes"], "other.example", "/a/x"))
+
+    def test_no_manifest_is_a_promise_that_nothing_ran(self):
+        """A 404 before the first manifest would tell callers to stop asking."""
+        decision = decide_entry(new_fleet(), facts(), 0.0)
+        self.assertEqual((decision.status, decision.reason), (503, Reason.NOT_READY))
+
+    def test_time_left_bounds_the_deadline(self):
+        """A caller that waits 100 ms must not occupy a queue for the route's whole timeout."""
+        state = fleet(routes=(route(timeout_s=2.0),))
+        self.assertEqual(decide_entry(state, facts(time_left_s=0.1), 5.0).deadline, 5.1)
+        self.assertEqual(decide_entry(state, facts(), 5.0).deadline, 7.0)
+        self.assertIsInstance(decide_entry(state, facts(time_left_s=0.0), 5.0), AnswerHere)
+
+    @STEADY
+    @given(st.integers(1, 99))
+    def test_split_follows_the_weights(self, weight):
+        """A share that lies off its weight sends an untested version too many requests."""
+        policy = route(services=("a", "b"), weights=(float(weight), float(100 - weight)))
+        state = fleet(routes=(policy,))
+        counts = Counter()
+        for _ in range(300):
+            decision = decide_entry(state, facts(), 0.0)
+            self.assertIsInstance(decision, Begin)
+            counts[decision.service] += 1
+            advance_split(state, policy)
+        self.assertAlmostEqual(counts["a"] / 300, weight / 100, delta=0.02)
+
+
+class TargetChoiceTest(unittest.TestCase):
+    def choose(self, state, request=None, now=0.0):
+        return choose_target(state, PLACE, request or exchange(), now, Random(1))
+
+    def test_own_failure_domain_comes_first(self):
+        """Bytes between failure domains are paid for, and a partition may cut them off."""
+        state = fleet(
+            target("far", "10.0.2.1", "davao", "mindanao"),
+            target("near", "10.0.0.2"),
+            target("region", "10.0.1.1", "baguio"),
+        )
+        self.assertEqual(self.choose(state).entry.incarnation, "near")
+
+    def test_own_target_needs_no_other_node(self):
+        """A call to the own target that went through another node would pay two more hops."""
+        state = fleet(target("own", PLACE.host))
+        self.assertIsInstance(self.choose(state), SendToOwnTarget)
+
+    def test_long_queue_nearby_sends_calls_further(self):
+        """One overloaded failure domain would miss its times while others have free slots."""
+        state = fleet(target("near", "10.0.0.2"), target("region", "10.0.1.1", "baguio"))
+        record_load(state, "near", LoadReport(10, 40, 10, 0.1), 0.0)
+        self.assertEqual(self.choose(state).entry.incarnation, "region")
+
+    def test_calls_since_the_last_report_count(self):
+        """All calls between two reports would go to one target."""
+        entry = target("near", "10.0.0.2")
+        state = fleet(entry, target("region", "10.0.1.1", "baguio"))
+        for _ in range(200):
+            record_call_sent(state, entry)
+        self.assertEqual(self.choose(state).entry.incarnation, "region")
+
+    def test_leaving_draining_and_tried_targets_get_nothing_new(self):
+        """A target that leaves must stop receiving work within seconds."""
+        state = fleet(target("leaving", "10.0.0.2", leaving=True), target("draining", "10.0.0.3"))
+        record_draining(state, "draining", True)
+        self.assertIsInstance(self.choose(state), NoTarget)
+        put_target(state, target("tried", "10.0.0.4"))
+        request = exchange()
+        request["tried"].add("tried")
+        self.assertIsInstance(self.choose(state, request), NoTarget)
+
+    def test_suspected_targets_are_a_last_resort(self):
+        """Refusing everything because all targets failed once would outlast the fault."""
+        state = fleet(target("a", "10.0.0.2"), target("b", "10.0.1.1", "baguio"))
+        record_target_failure(state, "a", 0.0)
+        self.assertEqual(self.choose(state, now=0.1).entry.incarnation, "b")
+        record_target_failure(state, "b", 0.0)
+        self.assertIsInstance(self.choose(state, now=0.1), SendToNode)
+        self.assertEqual(self.choose(state, now=5.0).entry.incarnation, "a")
+
+
+class NextStepsTest(unittest.TestCase):
+    def test_success_is_delivered(self):
+        """An answer that is ready must reach its caller."""
+        self.assertEqual(next_step(OK, exchange(), with_budget(), 9.0), Deliver(OK))
+
+    def test_failed_repeatable_request_is_sent_again(self):
+        """One failing target in a hundred would fail one caller in a hundred."""
+        step = next_step(FAILED, exchange(), with_budget(), 0.1)
+        self.assertEqual(step, SendAgain(Reason.TARGET_ANSWERED, spends=True))
+
+    def test_at_most_once_request_is_never_sent_again_after_it_may_have_run(self):
+        """A filing or a charge would run twice."""
+        request = exchange(route(execution=Execution.AT_MOST_ONCE))
+        self.assertEqual(next_step(FAILED, request, with_budget(), 0.1), Deliver(FAILED))
+        for reason in (Reason.CONNECTION_LOST, Reason.INCOMPLETE_ANSWER):
+            step = next_step(Unknown(reason, 0), request, with_budget(), 0.1)
+            self.assertEqual((type(step), step.status), (GiveUp, 502))
+
+    def test_at_most_once_request_goes_on_after_a_true_not_run(self):
+        """A filing would be refused although another target is free."""
+        request = exchange(route(execution=Execution.AT_MOST_ONCE))
+        step = next_step(NotRun(Reason.TARGET_REFUSED, 0), request, with_budget(), 0.1)
+        self.assertEqual(step, SendAgain(Reason.TARGET_REFUSED, spends=True))
+        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, with_budget(), 0.1)
+        self.assertEqual(step, SendAgain(Reason.QUEUE_FULL, spends=False))
+
+    def test_not_run_is_promised_only_when_no_send_may_have_run(self):
+        """A 503 after a lost answer would tell the caller that its request never ran."""
+        request = exchange()
+        request["refusals"] = 9
+        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, with_budget(), 0.1)
+        self.assertEqual(step, GiveUp(503, Reason.QUEUE_FULL, 0.2))
+        request["unsettled"] = True
+        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, with_budget(), 0.1)
+        self.assertEqual(step.status, 502)
+
+    def test_attempts_are_bounded(self):
+        """A request must not reach more targets than its route allows."""
+        request = exchange()
+        request["sent"] = 2
+        self.assertEqual(next_step(FAILED, request, with_budget(), 0.1), Deliver(FAILED))
+
+    def test_nothing_is_sent_again_without_time(self):
+        """A repeat that cannot finish in time is wasted work."""
+        self.assertEqual(next_step(FAILED, exchange(), with_budget(), 1.97), Deliver(FAILED))
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    @STEADY
+    @given(st.lists(st.tuples(st.floats(0.0, 0.2), st.booleans()), max_size=400))
+    def test_repeats_stay_within_the_share_of_every_window(self, events):
+        """Repeats during a slowdown would multiply the load that caused it."""
+        counts = repeats(extra=4.0)
+        now = 0.0
+        firsts = []
+        again = []
+        for gap_s, wants_repeat in events:
+            now += gap_s
+            record_first(counts, "seals", now)
+            firsts.append(now)
+            if wants_repeat and may_repeat(counts, "seals", now):
+                record_repeat(counts, "seals", now)
+                again.append(now)
+        for end in again:
+            in_window = sum(1 for at in again if end - 10.0 < at <= end)
+            sent = sum(1 for at in firsts if end - 20.0 < at <= end)
+            self.assertLessEqual(in_window, 0.2 * sent + 4.0)
--- /dev/null
+++ b/tests/fast/test_platform_path.py
@@ -0,0 +1,215 @@
+"""Guards the path of a request over two nodes, against stand-ins of the platform."""
+
+import asyncio
+import unittest
+
+from jacinthsail.internal.adapters.http_client import Broken
+from jacinthsail.testing.platform_stand_ins import CallerStandIn, TargetStandIn, header_of
+from tests.common.platform_world import READY_PORT, ROUTE, World, manifest
+
+
+def sleeping(seconds):
+    def behaviour(target, request, respond):
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, lambda: respond(target.answer(request)))
+
+    return behaviour
+
+
+def never(target, request, respond):
+    """Run the request and say nothing."""
+
+
+def failing(target, request, respond):
+    respond(target.answer(request, status=500))
+
+
+def unsealed(target, request, respond):
+    respond(target.answer(request)._replace(head_lines=b""))
+
+
+class PlatformPathTest(unittest.IsolatedAsyncioTestCase):
+    async def fleet(self, world, *behaviours):
+        """Start a node without a target as number 1, and one node with a target for each."""
+        for number, behaviour in enumerate(behaviours, 2):
+            await world.add_target(number, TargetStandIn(f"i-{number}", behaviour))
+            await world.add_node(number, service="seals")
+        await world.add_node(1)
+        await world.until_known(len(behaviours))
+        return await world.caller(1)
+
+    async def test_request_reaches_a_target_over_its_node(self):
+        """Without this path nothing is served at all."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0))
+            answer = await caller.ask(
+                "/lookup/x?q=1", "r-1", method="POST", body=b"abc", head="X-Deadline-Ms: 800\r\n"
+            )
+            self.assertEqual((answer.status, answer.body), (200, b"i-2 ran r-1"))
+            self.assertIn((b"x-response-seal", b"seal-i-2"), answer.headers)
+            run = world.targets[2].runs[0]
+            self.assertEqual((run.method, run.url, run.body), ("POST", b"/lookup/x?q=1", b"abc"))
+            self.assertEqual(header_of(run, b"x-caller-service"), "drafts")
+            self.assertEqual(header_of(run, b"x-expected-instance"), "i-2")
+            self.assertLessEqual(int(header_of(run, b"x-deadline-ms")), 800)
+
+    async def test_route_that_does_not_exist_is_not_found(self):
+        """A request without a route must not run anywhere."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0))
+            self.assertEqual((await caller.ask("/nowhere/x", "r-1")).status, 404)
+
+    async def test_failed_lookup_is_repeated_at_another_target(self):
+        """One failing target would fail its share of the callers."""
+        async with World() as world:
+            caller = await self.fleet(world, failing, sleeping(0.0))
+            for number in range(4):
+                answer = await caller.ask("/lookup/x", f"r-{number}")
+                self.assertEqual(answer.status, 200)
+            self.assertGreater(len(world.targets[2].runs), 0)
+
+    async def test_charge_is_never_repeated(self):
+        """A charge would be made twice."""
+        async with World() as world:
+            caller = await self.fleet(world, unsealed, unsealed)
+            answer = await caller.ask("/charge/x", "r-1", method="POST", body=b"1")
+            self.assertEqual(answer.status, 502)
+            runs = sum(len(one.runs) for one in world.targets.values())
+            self.assertEqual(runs, 1)
+
+    async def test_timeout_is_answered_at_its_time_and_the_target_is_told(self):
+        """A caller would be held past its limit, and the target would work for nobody."""
+        async with World() as world:
+            caller = await self.fleet(world, never)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            answer = await caller.ask("/lookup/x", "r-1")
+            self.assertEqual(answer.status, 504)
+            self.assertLess(abs(loop.time() - started - 1.0), 0.4)
+            await world.until(lambda: world.targets[2].cancelled == 1)
+
+    async def test_caller_that_leaves_stops_the_target(self):
+        """Work for a caller that has left takes a slot from one that waits."""
+        async with World() as world:
+            caller = await self.fleet(world, never)
+            asked = asyncio.ensure_future(caller.ask("/lookup/x", "r-1"))
+            await world.until(lambda: world.targets[2].runs)
+            caller.connection.transport.abort()
+            self.assertIsInstance(await asked, Broken)
+            await world.until(lambda: world.targets[2].cancelled == 1)
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        """A caller would take the second answer for the first."""
+
+        def slow_first(target, request, respond):
+            delay = 0.2 if header_of(request, b"x-attempt-id") == "r-1" else 0.0
+            sleeping(delay)(target, request, respond)
+
+        async with World() as world:
+            await self.fleet(world, slow_first)
+            reader, writer = await asyncio.open_connection(world.host(1), 18300)
+            for number in (1, 2):
+                writer.write(
+                    f"GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: r-{number}\r\n\r\n"
+                    "".encode()
+                )
+            text = b""
+            while b"ran r-2" not in text:
+                text += await asyncio.wait_for(reader.read(4096), 3.0)
+            self.assertLess(text.index(b"ran r-1"), text.index(b"ran r-2"))
+            writer.close()
+
+    async def test_leaving_target_gets_no_new_work(self):
+        """A target would be stopped with requests in flight."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0), sleeping(0.0))
+            world.publish(2, state="draining")
+            node = world.nodes[1]
+            await world.until(lambda: node.fleet["targets"]["i-2"].leaving)
+            before = len(world.targets[2].runs)
+            for number in range(6):
+                self.assertEqual((await caller.ask("/lookup/x", f"r-{number}")).status, 200)
+            self.assertEqual(len(world.targets[2].runs), before)
+
+    async def test_replaced_target_at_the_same_address_runs_nothing_for_the_old_one(self):
+        """A request would run at a service that its route does not name."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0))
+            world.targets[2].incarnation = "i-other"
+            answer = await caller.ask("/lookup/x", "r-1")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(world.targets[2].runs, [])
+
+    async def test_new_manifest_comes_into_force(self):
+        """An edit that does not arrive leaves the old rules in force."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0))
+            world.store.put("op/config", manifest(2, ({**ROUTE, "prefix": "/new/"},)))
+            await world.until(lambda: world.nodes[1].fleet["manifest"].version == 2)
+            self.assertEqual((await caller.ask("/new/x", "r-1")).status, 200)
+            self.assertEqual((await caller.ask("/lookup/x", "r-2")).status, 404)
+            world.store.put("op/config", manifest(1))
+            world.store.put("op/config", b"not json")
+            world.store.put("servers/i-9", b"{}")
+            await world.until(lambda: world.nodes[1].fleet["revision"] == world.store.revision)
+            self.assertEqual(world.nodes[1].fleet["manifest"].version, 2)
+            self.assertNotIn("i-9", world.nodes[1].fleet["targets"])
+
+    async def test_store_that_forgot_its_history_is_read_again(self):
+        """A node that misses a change in the gap would send work to a target that left."""
+        async with World() as world:
+            await self.fleet(world, sleeping(0.0), sleeping(0.0))
+            node = world.nodes[1]
+            world.store.status = 503
+            await world.until(lambda: node.reading["failures"] > 0)
+            world.store.delete("servers/i-2")
+            world.store.put("op/config", manifest(3))
+            world.store.drop_history()
+            world.store.status = 200
+            await world.until(lambda: node.fleet["manifest"].version == 3)
+            await world.until(lambda: "i-2" not in node.fleet["targets"])
+            self.assertIn("i-3", node.fleet["targets"])
+
+    async def test_planned_stop_finishes_what_runs_and_turns_callers_away(self):
+        """A filing would be cut off by a rolling restart."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.3), sleeping(0.3))
+            asked = asyncio.ensure_future(caller.ask("/charge/x", "r-1", method="POST", body=b"1"))
+            await world.until(lambda: world.targets[2].runs or world.targets[3].runs)
+            busy = 2 if world.targets[2].runs else 3
+            stopping = asyncio.ensure_future(world.nodes[busy].stop())
+            self.assertEqual((await asked).status, 200)
+            probe = CallerStandIn()
+            await probe.connect(world.host(busy), READY_PORT)
+            self.assertEqual((await probe.ask("/-/ready", "")).status, 503)
+            answer = await caller.ask("/lookup/x", "r-2")
+            self.assertEqual(answer.body, f"i-{5 - busy} ran r-2".encode())
+            await stopping
+
+    async def test_malformed_requests_are_refused(self):
+        """A smuggled or oversized request could be read as two, or exhaust the memory."""
+        cases = (
+            (b"GET /lookup/x HTTP/1.1\r\n\r\n", b"400"),
+            (b"nonsense\r\n\r\n", b"400"),
+            (
+                b"POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                b"400",
+            ),
+            (b"GET /lookup/" + b"x" * 6000 + b" HTTP/1.1\r\nHost: h.example\r\n\r\n", b"431"),
+            (
+                b"POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 200000\r\n\r\n"
+                + b"x" * 200000,
+                b"413",
+            ),
+        )
+        async with World() as world:
+            await self.fleet(world, sleeping(0.0))
+            for sent, status in cases:
+                with self.subTest(status=status, start=sent[:20]):
+                    reader, writer = await asyncio.open_connection(world.host(1), 18300)
+                    writer.write(sent)
+                    line = await asyncio.wait_for(reader.readline(), 3.0)
+                    self.assertIn(status, line)
+                    writer.close()
+            self.assertEqual(world.targets[2].runs, [])
