Give nested calls the rank of their request, and keep repeats for important ones

Change: a call of the own target is matched by its deadline with the request that it is made for and shares its rank; repeats of runs and of offers have shares of the budget of their own, larger for important requests; a target that turned a request away may be offered it again; calls leave the region only if they would be late or refused in it.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import singledispatch
 from random import Random
 from typing import Protocol
 
@@ -21,9 +21,9 @@
 from jacinthsail.internal.adapters.request_metrics import RequestMetrics
 from jacinthsail.internal.commands.exchange import (
     record_failure,
-    record_offer,
     record_refusal,
     record_send,
+    record_target_refusal,
 )
 from jacinthsail.internal.commands.fleet import (
     advance_split,
@@ -55,7 +55,9 @@
     SendToOwnTarget,
     TargetEntry,
 )
+from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.queries.lineage import rank_on_arrival
 from jacinthsail.internal.queries.manifest_routes import decide_entry
 from jacinthsail.internal.queries.next_steps import (
     REFUSED_BY_TARGET,
@@ -95,6 +97,7 @@
         self,
         fleet: FleetState,
         repeats: RepeatState,
+        lineage: LineageState,
         place: NodePlace,
         dialect: CallerDialect,
         own_target: OwnTarget,
@@ -104,6 +107,7 @@
     ) -> None:
         self.fleet = fleet
         self.repeats = repeats
+        self.lineage = lineage
         self.place = place
         self.dialect = dialect
         self.own_target = own_target
@@ -170,7 +174,9 @@
             arrived_at=now,
             deadline=begin.deadline,
             tried=set(),
-            sent=0,
+            rank=rank_on_arrival(entry.lineage, begin.route.priority, begin.deadline),
+            offered=set(),
+            bounces=0,
             refusals=0,
             current="",
             unsettled=False,
@@ -182,7 +188,7 @@
         entry = self.entry
         choice = choose_target(entry.fleet, entry.place, self.exchange, now, entry.random)
         if isinstance(choice, NoTarget):
-            self.follow(
+            self.give_up(
                 give_up_after_not_run(choice.reason, self.exchange, choice.retry_after_s), now
             )
             return
@@ -207,7 +213,7 @@
             service=exchange["service"],
             incarnation=target.incarnation,
             repeatable=is_repeatable(exchange),
-            rank=exchange["route"].priority,
+            rank=exchange["rank"],
             remaining_s=max(0.0, exchange["deadline"] - now),
             patience_s=patience_s(exchange, now),
             head_lines=self.head_lines,
@@ -222,80 +228,18 @@
         record_call_end(self.entry.fleet, incarnation)
         if self.respond is None:
             return
-        self._record(outcome, incarnation, now)
-        self.follow(next_step(outcome, self.exchange, self.entry.repeats, now), now)
-
-    @singledispatchmethod
-    def _record(self, outcome: object, incarnation: str, now: float) -> None:
-        """Remember what an outcome says of its target."""
-        raise NotImplementedError(f"no record of {type(outcome).__name__}; register one")
-
-    @_record.register
-    def _(self, outcome: TargetAnswer, incarnation: str, now: float) -> None:
-        record_offer(self.exchange)
-        record_target_success(self.entry.fleet, incarnation)
-        record_failure(self.exchange, may_have_run=True)
-
-    @_record.register
-    def _(self, outcome: NotRun, incarnation: str, now: float) -> None:
-        fleet = self.entry.fleet
-        if outcome.reason in REFUSED_BY_TARGET:
-            record_offer(self.exchange)
-            record_failure(self.exchange, may_have_run=False)
-            return
-        if outcome.reason in _UNREACHABLE:
-            record_target_failure(fleet, incarnation, now)
-        if outcome.reason is Reason.DRAINING:
-            record_draining(fleet, incarnation, True)
-        record_refusal(self.exchange)
-
-    @_record.register
-    def _(self, outcome: Unknown, incarnation: str, now: float) -> None:
-        record_offer(self.exchange)
-        if outcome.reason is Reason.CONNECTION_LOST:
-            record_target_failure(self.entry.fleet, incarnation, now)
-        record_failure(self.exchange, may_have_run=True)
-
-    @singledispatchmethod
-    def follow(self, step: object, now: float) -> None:
-        """Carry out what was decided after an outcome."""
-        raise NotImplementedError(f"no action for {type(step).__name__}; register one")
-
-    @follow.register
-    def _(self, step: Deliver, now: float) -> None:
-        answer = step.answer
-        self._finish(
-            HttpResponse(answer.status, answer.head_lines, answer.body),
-            Reason.TARGET_ANSWERED,
-            now,
-        )
-
-    @follow.register
-    def _(self, step: SendAgain, now: float) -> None:
-        exchange = self.exchange
-        log_request(
-            "again",
-            exchange["facts"].request_id,
-            step.reason,
-            now,
-            service=exchange["service"],
-            tried=len(exchange["tried"]),
-        )
-        if step.spends:
-            record_repeat(self.entry.repeats, exchange["service"], now)
-        self.send(now)
-
-    @follow.register
-    def _(self, step: GiveUp, now: float) -> None:
-        self._give_up(step, now)
+        _record(outcome, self, incarnation, now)
+        _follow(next_step(outcome, self.exchange, self.entry.repeats, now), self, now)
 
-    def _give_up(self, step: GiveUp, now: float) -> None:
+    def give_up(self, step: GiveUp, now: float) -> None:
+        """Answer the caller without a target."""
         head_lines = self.entry.dialect.own_answer(
             self.exchange["facts"], step.status, step.retry_after_s
         )
-        self._finish(HttpResponse(step.status, head_lines, b""), step.reason, now)
+        self.finish(HttpResponse(step.status, head_lines, b""), step.reason, now)
 
-    def _finish(self, response: HttpResponse, reason: Reason, now: float) -> None:
+    def finish(self, response: HttpResponse, reason: Reason, now: float) -> None:
+        """Write the final answer, once."""
         respond = self.respond
         if respond is None:
             return
@@ -318,7 +262,8 @@
             status=status,
             route=exchange["route"].name,
             service=exchange["service"],
-            sent=exchange["sent"],
+            offered=len(exchange["offered"]),
+            rank=exchange["rank"],
             refusals=exchange["refusals"],
             took_ms=round(took_s * 1000, 1),
         )
@@ -328,7 +273,7 @@
         now = self.entry.loop.time()
         handle = self.handle
         self.handle = None
-        self._give_up(GiveUp(STATUS_TIMEOUT, Reason.ROUTE_TIMEOUT, 0.0), now)
+        self.give_up(GiveUp(STATUS_TIMEOUT, Reason.ROUTE_TIMEOUT, 0.0), now)
         self._abandon(handle)
 
     def cancel(self) -> None:
@@ -344,3 +289,69 @@
             return
         record_call_end(self.entry.fleet, self.exchange["current"])
         handle.cancel()
+
+
+@singledispatch
+def _record(outcome: object, opened: OpenRequest, incarnation: str, now: float) -> None:
+    """Remember what an outcome says of its target."""
+    raise NotImplementedError(f"no record of {type(outcome).__name__}; register one")
+
+
+@_record.register
+def _(outcome: TargetAnswer, opened: OpenRequest, incarnation: str, now: float) -> None:
+    record_target_success(opened.entry.fleet, incarnation)
+    record_failure(opened.exchange, may_have_run=True)
+
+
+@_record.register
+def _(outcome: NotRun, opened: OpenRequest, incarnation: str, now: float) -> None:
+    fleet = opened.entry.fleet
+    if outcome.reason in REFUSED_BY_TARGET:
+        record_target_refusal(opened.exchange)
+        return
+    if outcome.reason in _UNREACHABLE:
+        record_target_failure(fleet, incarnation, now)
+    if outcome.reason is Reason.DRAINING:
+        record_draining(fleet, incarnation, True)
+    record_refusal(opened.exchange)
+
+
+@_record.register
+def _(outcome: Unknown, opened: OpenRequest, incarnation: str, now: float) -> None:
+    if outcome.reason is Reason.CONNECTION_LOST:
+        record_target_failure(opened.entry.fleet, incarnation, now)
+    record_failure(opened.exchange, may_have_run=True)
+
+
+@singledispatch
+def _follow(step: object, opened: OpenRequest, now: float) -> None:
+    """Carry out what was decided after an outcome."""
+    raise NotImplementedError(f"no action for {type(step).__name__}; register one")
+
+
+@_follow.register
+def _(step: Deliver, opened: OpenRequest, now: float) -> None:
+    answer = step.answer
+    response = HttpResponse(answer.status, answer.head_lines, answer.body)
+    opened.finish(response, Reason.TARGET_ANSWERED, now)
+
+
+@_follow.register
+def _(step: SendAgain, opened: OpenRequest, now: float) -> None:
+    exchange = opened.exchange
+    log_request(
+        "again",
+        exchange["facts"].request_id,
+        step.reason,
+        now,
+        service=exchange["service"],
+        tried=len(exchange["tried"]),
+    )
+    if step.spends:
+        record_repeat(opened.entry.repeats, exchange["service"], now)
+    opened.send(now)
+
+
+@_follow.register
+def _(step: GiveUp, opened: OpenRequest, now: float) -> None:
+    opened.give_up(step, now)
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -33,6 +33,7 @@
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.fleet_settings import FleetSettings
+from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.messages import Hello
 from jacinthsail.internal.model.repeats import RepeatState
 from jacinthsail.internal.queries.backlog import INITIAL_MEAN_S
@@ -51,7 +52,7 @@
 FIRST_SLOTS = 64
 
 # The end of the grace period is kept free for closing what is left.
-STOP_MARGIN_S = 0.6
+STOP_MARGIN_S = 1.0
 
 # Callers are asked every second whether the node is ready and leave after two misses; until then
 # they send requests that have to be served.
@@ -111,8 +112,13 @@
         self.repeats = RepeatState(
             by_service={}, ratio=budget.ratio, window_s=budget.window_s, extra=0.0
         )
+        self.lineage = LineageState(running=[], next_ticket=1)
         self.own_target = OwnTarget(
-            self.backlog, self.dialects.target, settings.target.host, settings.target.port
+            self.backlog,
+            self.lineage,
+            self.dialects.target,
+            settings.target.host,
+            settings.target.port,
         )
         place = settings.place
         self.links = PeerLinks(
@@ -126,6 +132,7 @@
         self.entry = Entry(
             self.fleet,
             self.repeats,
+            self.lineage,
             place,
             self.dialects.callers,
             self.own_target,
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -17,6 +17,7 @@
     record_end,
     record_start,
 )
+from jacinthsail.internal.commands.lineage import add_parent, remove_parent
 from jacinthsail.internal.model.backlog import (
     BacklogState,
     Reject,
@@ -26,6 +27,7 @@
 )
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.exchange import Forward, ForwardOutcome, TargetAnswer
+from jacinthsail.internal.model.lineage import LineageState, RunningParent
 from jacinthsail.internal.queries.backlog import decide_backlog, expired_waiting, next_waiting
 
 CONNECT_TIMEOUT_S = 0.5
@@ -65,7 +67,16 @@
 class RunningForward:
     """One request that this node was asked to run; ``cancel`` gives it up."""
 
-    __slots__ = ("target", "forward", "on_outcome", "waiting", "connection", "timer", "started_at")
+    __slots__ = (
+        "target",
+        "forward",
+        "on_outcome",
+        "waiting",
+        "connection",
+        "timer",
+        "started_at",
+        "parent",
+    )
 
     def __init__(self, target: "OwnTarget", forward: Forward, on_outcome: OnOutcome) -> None:
         self.target = target
@@ -75,6 +86,7 @@
         self.connection: HttpClientConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.started_at = 0.0
+        self.parent: RunningParent | None = None
 
     def cancel(self) -> None:
         """Drop a request that waits; stop one that runs if it may be run again."""
@@ -85,8 +97,16 @@
 class OwnTarget:
     """The queue, the connections and the requests in flight of the own target."""
 
-    def __init__(self, backlog: BacklogState, dialect: TargetDialect, host: str, port: int) -> None:
+    def __init__(
+        self,
+        backlog: BacklogState,
+        lineage: LineageState,
+        dialect: TargetDialect,
+        host: str,
+        port: int,
+    ) -> None:
         self.backlog = backlog
+        self.lineage = lineage
         self.dialect = dialect
         self.host = host
         self.port = port
@@ -156,6 +176,8 @@
         now = self.loop.time()
         record_start(self.backlog)
         running.started_at = now
+        running.parent = RunningParent(deadline, self.lineage["next_ticket"], running.forward.rank)
+        add_parent(self.lineage, running.parent)
         running.timer = self.loop.call_at(
             deadline + DEADLINE_SLACK_S, self._end, running, Unknown(Reason.DEADLINE_EXPIRED, 0)
         )
@@ -232,6 +254,8 @@
             return
         running.timer.cancel()
         running.timer = None
+        if running.parent is not None:
+            remove_parent(self.lineage, running.parent)
         if running.connection is not None and running.connection.on_result is not None:
             # Closing the connection tells the target to stop.
             running.connection.abort()
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.adapters.own_target import OwnTarget, RunningForward
@@ -112,7 +112,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, self.connection = await self.links.loop.create_connection(
-                    lambda: PeerConnection(self._deliver, self.on_closed, self.links.traffic),
+                    lambda: PeerConnection(self.deliver, self.on_closed, self.links.traffic),
                     self.host,
                     self.links.port,
                 )
@@ -150,34 +150,9 @@
             return
         self.connection.send(Cancel(pending.forward_id))
 
-    def _deliver(self, connection: PeerConnection, message: Message) -> None:
-        self.on_message(message, connection)
-
-    @singledispatchmethod
-    def on_message(self, message: object, connection: PeerConnection) -> None:
+    def deliver(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message of the peer."""
-        _LOG.warning("peer %s sent an unexpected %s", self.host, type(message).__name__)
-
-    @on_message.register
-    def _(self, message: Hello, connection: PeerConnection) -> None:
-        self.is_greeted = True
-        connection.greeted.set()
-
-    @on_message.register
-    def _(self, message: ForwardReply, connection: PeerConnection) -> None:
-        pending = self.pending.pop(message.forward_id, None)
-        if pending is None:
-            return
-        self.links.on_load(pending.forward.incarnation, message.load)
-        pending.settle(message.outcome)
-
-    @on_message.register
-    def _(self, message: Pong, connection: PeerConnection) -> None:
-        self.pinged_at = 0.0
-
-    @on_message.register
-    def _(self, message: Goodbye, connection: PeerConnection) -> None:
-        self.is_peer_leaving = True
+        _on_answer(message, self, connection)
 
     def on_closed(self, connection: PeerConnection) -> None:
         """Settle the requests whose replies cannot come any more."""
@@ -241,7 +216,7 @@
         self._upkeep()
 
     def _accept(self) -> PeerConnection:
-        connection = PeerConnection(self._deliver, self._on_inbound_closed, self.traffic)
+        connection = PeerConnection(self.deliver, self._on_inbound_closed, self.traffic)
         self.inbound[connection] = {}
         return connection
 
@@ -263,42 +238,9 @@
         link = self.links.get(host)
         return link is not None and link.is_peer_leaving
 
-    def _deliver(self, connection: PeerConnection, message: Message) -> None:
-        self.on_message(message, connection)
-
-    @singledispatchmethod
-    def on_message(self, message: object, connection: PeerConnection) -> None:
+    def deliver(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message on a connection that a peer opened."""
-        _LOG.warning("a peer sent an unexpected %s", type(message).__name__)
-
-    @on_message.register
-    def _(self, message: Hello, connection: PeerConnection) -> None:
-        connection.send(self.hello)
-        if self.is_leaving:
-            connection.send(Goodbye())
-
-    @on_message.register
-    def _(self, message: Ping, connection: PeerConnection) -> None:
-        connection.send(Pong(load_report(self.own_target.backlog)))
-
-    @on_message.register
-    def _(self, message: Cancel, connection: PeerConnection) -> None:
-        running = self.inbound[connection].pop(message.call_id, None)
-        if running is not None:
-            running.cancel()
-
-    @on_message.register
-    def _(self, message: ForwardRequest, connection: PeerConnection) -> None:
-        forward_id = message.forward_id
-
-        def reply(outcome: ForwardOutcome) -> None:
-            self.inbound.get(connection, {}).pop(forward_id, None)
-            load = load_report(self.own_target.backlog)
-            connection.send(ForwardReply(forward_id, outcome, load))
-
-        running = self.own_target.submit(message.forward, reply)
-        if running.on_outcome is not None:
-            self.inbound[connection][forward_id] = running
+        _on_request(message, self, connection)
 
     def _on_inbound_closed(self, connection: PeerConnection) -> None:
         for running in self.inbound.pop(connection, {}).values():
@@ -325,3 +267,74 @@
                 link.connection.abort()
         for connection in list(self.inbound):
             connection.abort()
+
+
+@singledispatch
+def _on_answer(message: object, link: PeerLink, connection: PeerConnection) -> None:
+    """Handle a message on a connection that this node opened."""
+    _LOG.warning("peer %s sent an unexpected %s", link.host, type(message).__name__)
+
+
+@_on_answer.register
+def _(message: Hello, link: PeerLink, connection: PeerConnection) -> None:
+    link.is_greeted = True
+    connection.greeted.set()
+
+
+@_on_answer.register
+def _(message: ForwardReply, link: PeerLink, connection: PeerConnection) -> None:
+    pending = link.pending.pop(message.forward_id, None)
+    if pending is None:
+        return
+    link.links.on_load(pending.forward.incarnation, message.load)
+    pending.settle(message.outcome)
+
+
+@_on_answer.register
+def _(message: Pong, link: PeerLink, connection: PeerConnection) -> None:
+    link.pinged_at = 0.0
+
+
+@_on_answer.register
+def _(message: Goodbye, link: PeerLink, connection: PeerConnection) -> None:
+    link.is_peer_leaving = True
+    _LOG.info("peer %s stops; it gets nothing new", link.host)
+
+
+@singledispatch
+def _on_request(message: object, links: PeerLinks, connection: PeerConnection) -> None:
+    """Handle a message on a connection that a peer opened."""
+    _LOG.warning("a peer sent an unexpected %s", type(message).__name__)
+
+
+@_on_request.register
+def _(message: Hello, links: PeerLinks, connection: PeerConnection) -> None:
+    connection.send(links.hello)
+    if links.is_leaving:
+        connection.send(Goodbye())
+
+
+@_on_request.register
+def _(message: Ping, links: PeerLinks, connection: PeerConnection) -> None:
+    connection.send(Pong(load_report(links.own_target.backlog)))
+
+
+@_on_request.register
+def _(message: Cancel, links: PeerLinks, connection: PeerConnection) -> None:
+    running = links.inbound[connection].pop(message.call_id, None)
+    if running is not None:
+        running.cancel()
+
+
+@_on_request.register
+def _(message: ForwardRequest, links: PeerLinks, connection: PeerConnection) -> None:
+    forward_id = message.forward_id
+
+    def reply(outcome: ForwardOutcome) -> None:
+        links.inbound.get(connection, {}).pop(forward_id, None)
+        load = load_report(links.own_target.backlog)
+        connection.send(ForwardReply(forward_id, outcome, load))
+
+    running = links.own_target.submit(message.forward, reply)
+    if running.on_outcome is not None:
+        links.inbound[connection][forward_id] = running
--- a/src/jacinthsail/internal/commands/exchange.py
+++ b/src/jacinthsail/internal/commands/exchange.py
@@ -8,11 +8,6 @@
     exchange["current"] = incarnation
 
 
-def record_offer(exchange: Exchange) -> None:
-    """Count a target that was offered the request."""
-    exchange["sent"] += 1
-
-
 def record_refusal(exchange: Exchange) -> None:
     """Remember a target whose node did not take the request."""
     exchange["tried"].add(exchange["current"])
@@ -22,6 +17,14 @@
 
 def record_failure(exchange: Exchange, may_have_run: bool) -> None:
     """Remember a target that failed the request."""
+    exchange["offered"].add(exchange["current"])
     exchange["tried"].add(exchange["current"])
     exchange["unsettled"] = exchange["unsettled"] or may_have_run
     exchange["current"] = ""
+
+
+def record_target_refusal(exchange: Exchange) -> None:
+    """Remember a target that said that it did not run the request; it may be asked again."""
+    exchange["offered"].add(exchange["current"])
+    exchange["bounces"] += 1
+    exchange["current"] = ""
--- a/src/jacinthsail/internal/model/exchange.py
+++ b/src/jacinthsail/internal/model/exchange.py
@@ -51,9 +51,11 @@
 class Exchange(TypedDict):
     """One request at the node where it arrived; times are monotonic seconds.
 
-    ``deadline`` is when the caller gets an answer at the latest. ``tried`` holds the incarnations
-    that refused or failed it, ``sent`` how many targets were offered it. ``unsettled`` is set once
-    a send may have run without an answer.
+    ``deadline`` is when the caller gets an answer at the latest. ``rank`` is shared with the calls
+    that targets make for the request. ``tried`` holds the incarnations that are not chosen again,
+    ``offered`` those that were offered the request. ``bounces`` counts the times that a target said
+    that it did not run it, ``refusals`` the times that a node did. ``unsettled`` is set once a send
+    may have run without an answer.
     """
 
     facts: RequestFacts
@@ -62,7 +64,9 @@
     arrived_at: float
     deadline: float
     tried: set[str]
-    sent: int
+    rank: int
+    offered: set[str]
+    bounces: int
     refusals: int
     current: str
     unsettled: bool
--- /dev/null
+++ b/src/jacinthsail/internal/model/lineage.py
@@ -0,0 +1,18 @@
+"""Which requests run at the own target, so that the calls that it makes for them are recognised."""
+
+from typing import NamedTuple, TypedDict
+
+
+class RunningParent(NamedTuple):
+    """A request at the own target: its deadline in monotonic seconds, and its rank."""
+
+    deadline: float
+    ticket: int
+    rank: int
+
+
+class LineageState(TypedDict):
+    """The requests at the own target, ordered by deadline."""
+
+    running: list[RunningParent]
+    next_ticket: int
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -13,7 +13,11 @@
     TargetAnswer,
 )
 from jacinthsail.internal.model.repeats import RepeatState
-from jacinthsail.internal.queries.repeats import may_repeat
+from jacinthsail.internal.queries.repeats import (
+    REPEATED_OFFER_SHARE,
+    REPEATED_RUN_SHARE,
+    may_repeat,
+)
 
 STATUS_BAD_GATEWAY = 502
 STATUS_NOT_RUN = 503
@@ -28,6 +32,9 @@
 # Nodes that may refuse one request before its caller is told; each costs a round trip.
 MAX_REFUSALS = 3
 
+# Times that targets may turn one request away before its caller is told.
+MAX_BOUNCES = 6
+
 # The target itself was offered the request and said that it did not run it.
 REFUSED_BY_TARGET = frozenset({Reason.TARGET_REFUSED, Reason.TARGET_MISDIRECTED})
 
@@ -42,7 +49,7 @@
 def _(outcome: TargetAnswer, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
     if outcome.status not in REPEATED_STATUSES:
         return Deliver(outcome)
-    if is_repeatable(exchange) and can_repeat(exchange, repeats, now):
+    if is_repeatable(exchange) and can_run_again(exchange, repeats, now):
         return SendAgain(Reason.TARGET_ANSWERED, spends=True)
     return Deliver(outcome)
 
@@ -50,7 +57,7 @@
 @next_step.register
 def _(outcome: NotRun, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
     if outcome.reason in REFUSED_BY_TARGET:
-        if can_repeat(exchange, repeats, now):
+        if can_offer_again(exchange, repeats, now):
             return SendAgain(outcome.reason, spends=True)
     elif exchange["refusals"] < MAX_REFUSALS and has_time(exchange, now):
         return SendAgain(outcome.reason, spends=False)
@@ -59,7 +66,7 @@
 
 @next_step.register
 def _(outcome: Unknown, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
-    if is_repeatable(exchange) and can_repeat(exchange, repeats, now):
+    if is_repeatable(exchange) and can_run_again(exchange, repeats, now):
         return SendAgain(outcome.reason, spends=True)
     if now >= exchange["deadline"]:
         return GiveUp(STATUS_TIMEOUT, outcome.reason, 0.0)
@@ -87,8 +94,15 @@
     return exchange["deadline"] - now > needed_s
 
 
-def can_repeat(exchange: Exchange, repeats: RepeatState, now: float) -> bool:
-    """Tell whether the request may be offered to one more target."""
-    if exchange["sent"] >= exchange["route"].max_attempts or not has_time(exchange, now):
+def can_run_again(exchange: Exchange, repeats: RepeatState, now: float) -> bool:
+    """Tell whether the request may run at one more target."""
+    if len(exchange["offered"]) >= exchange["route"].max_attempts or not has_time(exchange, now):
+        return False
+    return may_repeat(repeats, exchange["service"], exchange["rank"], REPEATED_RUN_SHARE, now)
+
+
+def can_offer_again(exchange: Exchange, repeats: RepeatState, now: float) -> bool:
+    """Tell whether a request that did not run may be offered once more, to any target it knows."""
+    if exchange["bounces"] > MAX_BOUNCES or not has_time(exchange, now):
         return False
-    return may_repeat(repeats, exchange["service"], now)
+    return may_repeat(repeats, exchange["service"], exchange["rank"], REPEATED_OFFER_SHARE, now)
--- a/src/jacinthsail/internal/queries/repeats.py
+++ b/src/jacinthsail/internal/queries/repeats.py
@@ -5,12 +5,21 @@
 """
 
 from jacinthsail.internal.model.repeats import RepeatCounts, RepeatState
+from jacinthsail.internal.queries.lineage import priority_of_rank
 
 BUCKETS_PER_WINDOW = 10
 
-# Share of the budget that this node's own counts may use. Calls that a repeated request makes again
-# count as repeats of the services behind, so most of the budget is left to them.
-OWN_SHARE = 0.4
+# Shares of the budget that this node's own counts may use. A request that runs again makes its
+# calls again, which count as repeats of the services behind, so its share is the smaller one.
+REPEATED_RUN_SHARE = 0.25
+REPEATED_OFFER_SHARE = 0.4
+
+# A node with few requests may still repeat one in each window.
+MIN_REPEATS = 1.0
+
+# Part of a share that requests of each priority may use; the last one holds for all others. While
+# there are more failures than the budget can mend, it is spent where it matters most.
+SHARE_OF_PRIORITY = (1.0, 0.75, 0.4)
 
 
 def bucket_of(repeats: RepeatState, now: float) -> int:
@@ -18,14 +27,16 @@
     return int(now * BUCKETS_PER_WINDOW / repeats["window_s"])
 
 
-def may_repeat(repeats: RepeatState, service: str, now: float) -> bool:
+def may_repeat(repeats: RepeatState, service: str, rank: int, share: float, now: float) -> bool:
     """Tell whether one more repeat to a service fits the budget."""
     counts = repeats["by_service"].get(service)
     if counts is None:
         return False
     oldest = bucket_of(repeats, now) - BUCKETS_PER_WINDOW
-    allowed = OWN_SHARE * (repeats["ratio"] * recent(counts["firsts"], oldest) + repeats["extra"])
-    return recent(counts["repeats"], oldest) + 1 <= max(1.0, allowed)
+    allowed = repeats["ratio"] * recent(counts["firsts"], oldest) + repeats["extra"]
+    place = min(priority_of_rank(rank), len(SHARE_OF_PRIORITY) - 1)
+    bound = allowed * share * SHARE_OF_PRIORITY[place]
+    return recent(counts["repeats"], oldest) + 1 <= max(MIN_REPEATS, bound)
 
 
 def recent(counts: dict[int, int], oldest: int) -> int:
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -20,13 +20,14 @@
 # Typical round trips plus the cost of the bytes, as time that a caller would wait instead.
 DISTANCE_COST_S = {
     Distance.OWN_DOMAIN: 0.0,
-    Distance.OWN_REGION: 0.01,
-    Distance.OTHER_REGION: 0.04,
+    Distance.OWN_REGION: 0.02,
+    Distance.OTHER_REGION: 0.2,
 }
 
 # A target nearby is good enough while its answer is expected within this share of the time in which
-# it has its full value; the rest covers the spread of the times.
-NEAR_SHARE = 0.6
+# it has its full value. Links between failure domains and regions are slow and billed by volume, so
+# a call goes further only if it would be late or refused nearby.
+NEAR_SHARE = 0.85
 
 # A report older than this says little of the queue, so calls may probe the target again.
 REPORT_VALID_S = 0.5
@@ -90,9 +91,12 @@
     """Return the targets that may take the request, suspected ones only if there are no others."""
     usable = []
     suspected = []
+    is_bound = len(exchange["offered"]) >= exchange["route"].max_attempts
     for entry in fleet["by_service"].get(exchange["service"], ()):
         if entry.leaving or entry.incarnation in exchange["tried"]:
             continue
+        if is_bound and entry.incarnation not in exchange["offered"]:
+            continue
         view = fleet["views"].get(entry.incarnation)
         if view is not None and view["draining"]:
             continue
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -115,6 +115,13 @@
             record_call_sent(state, entry)
         self.assertEqual(self.choose(state).entry.incarnation, "region")
 
+    def test_request_turned_away_by_as_many_targets_as_allowed_stays_with_them(self):
+        """A request that did not run could reach more targets than its route allows."""
+        state = fleet(target("a", "10.0.0.2"), target("b", "10.0.1.1", "baguio"))
+        request = exchange(route(max_attempts=1))
+        request["offered"].add("b")
+        self.assertEqual(self.choose(state, request).entry.incarnation, "b")
+
     def test_leaving_draining_and_tried_targets_get_nothing_new(self):
         """A target that leaves must stop receiving work within seconds."""
         state = fleet(target("leaving", "10.0.0.2", leaving=True), target("draining", "10.0.0.3"))
@@ -174,9 +181,23 @@
     def test_attempts_are_bounded(self):
         """A request must not reach more targets than its route allows."""
         request = exchange()
-        request["sent"] = 2
+        request["offered"] |= {"a", "b"}
         self.assertEqual(next_step(FAILED, request, with_budget(), 0.1), Deliver(FAILED))
 
+    def test_the_last_repeats_are_kept_for_important_requests(self):
+        """While a service turns half of its requests away, lookups would use up the repeats."""
+        counts = repeats(extra=10.0)
+        record_first(counts, "seals", 0.0)
+        lookup = exchange(route(priority=2))
+        lookup["rank"] = 5
+        filing = exchange(route(priority=0))
+        filing["rank"] = 0
+        for _ in range(2):
+            record_repeat(counts, "seals", 0.1)
+        turned_away = NotRun(Reason.TARGET_REFUSED, 0)
+        self.assertIsInstance(next_step(turned_away, lookup, counts, 0.1), GiveUp)
+        self.assertIsInstance(next_step(turned_away, filing, counts, 0.1), SendAgain)
+
     def test_nothing_is_sent_again_without_time(self):
         """A repeat that cannot finish in time is wasted work."""
         self.assertEqual(next_step(FAILED, exchange(), with_budget(), 1.97), Deliver(FAILED))
@@ -195,7 +216,7 @@
             now += gap_s
             record_first(counts, "seals", now)
             firsts.append(now)
-            if wants_repeat and may_repeat(counts, "seals", now):
+            if wants_repeat and may_repeat(counts, "seals", 0, 1.0, now):
                 record_repeat(counts, "seals", now)
                 again.append(now)
         for end in again:
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -161,6 +161,7 @@
             await self.fleet(world, sleeping(0.0), sleeping(0.0))
             node = world.nodes[1]
             world.store.status = 503
+            world.store.put("op/config", manifest(2))
             await world.until(lambda: node.reading["failures"] > 0)
             world.store.delete("servers/i-2")
             world.store.put("op/config", manifest(3))
@@ -184,7 +185,10 @@
             self.assertEqual((await probe.ask("/-/ready", "")).status, 503)
             answer = await caller.ask("/lookup/x", "r-2")
             self.assertEqual(answer.body, f"i-{5 - busy} ran r-2".encode())
+            loop = asyncio.get_running_loop()
+            started = loop.time()
             await stopping
+            self.assertLess(loop.time() - started, 4.0)
 
     async def test_malformed_requests_are_refused(self):
         """A smuggled or oversized request could be read as two, or exhaust the memory."""
