Hold new requests back while answers come late, and let nested calls wait

Cause: with seals at its capacity lookups filled every queue of their chain and came late; nested calls were refused after the work before them was done.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -66,7 +66,7 @@
     is_repeatable,
     next_step,
 )
-from jacinthsail.internal.queries.patience import patience_s
+from jacinthsail.internal.queries.patience import good_within_s, patience_s
 from jacinthsail.internal.queries.target_choice import choose_target
 
 # A target answers at the deadline that it was told; its answer needs some time to arrive here.
@@ -216,6 +216,7 @@
             rank=exchange["rank"],
             remaining_s=max(0.0, exchange["deadline"] - now),
             patience_s=patience_s(exchange, now),
+            good_within_s=good_within_s(exchange),
             head_lines=self.head_lines,
             body=self.request.body,
         )
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -29,14 +29,13 @@
 from jacinthsail.internal.commands.fleet import record_load
 from jacinthsail.internal.commands.repeats import set_budget
 from jacinthsail.internal.commands.store_reading import end_lapses
-from jacinthsail.internal.model.backlog import BacklogState
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.fleet_settings import FleetSettings
 from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.messages import Hello
 from jacinthsail.internal.model.repeats import RepeatState
-from jacinthsail.internal.queries.backlog import INITIAL_MEAN_S
+from jacinthsail.internal.queries.backlog import new_backlog
 from jacinthsail.internal.queries.fleet_view import new_fleet, node_count, own_target
 from jacinthsail.internal.queries.store_reading import new_reading
 
@@ -97,17 +96,7 @@
         self.is_leaving = False
         self.fleet = new_fleet()
         self.reading = new_reading()
-        self.backlog = BacklogState(
-            slots=FIRST_SLOTS,
-            in_flight=0,
-            waiting=[],
-            tickets={},
-            waiting_by_rank={},
-            next_ticket=1,
-            mean_s=INITIAL_MEAN_S,
-            draining=False,
-            stopped=False,
-        )
+        self.backlog = new_backlog(FIRST_SLOTS)
         budget = settings.budget
         self.repeats = RepeatState(
             by_service={}, ratio=budget.ratio, window_s=budget.window_s, extra=0.0
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -50,6 +50,7 @@
   patienceMs @8 :UInt32;
   headLines @9 :Data;
   body @10 :Data;
+  goodWithinMs @11 :UInt32;
 }
 
 struct ForwardOutcome {
@@ -72,6 +73,7 @@
   queued @1 :UInt32;
   limit @2 :UInt32;
   meanUs @3 :UInt32;
+  newWaitMs @4 :UInt32;
 }
 
 struct Message {
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -28,7 +28,12 @@
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.exchange import Forward, ForwardOutcome, TargetAnswer
 from jacinthsail.internal.model.lineage import LineageState, RunningParent
-from jacinthsail.internal.queries.backlog import decide_backlog, expired_waiting, next_waiting
+from jacinthsail.internal.queries.backlog import (
+    decide_backlog,
+    expired_waiting,
+    kind_of,
+    next_waiting,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 
@@ -135,7 +140,12 @@
 
     def _wait(self, running: RunningForward, decision: Wait, now: float, deadline: float) -> None:
         waiting = WaitingForward(
-            self.backlog["next_ticket"], running.forward, now, decision.expires_at, deadline
+            self.backlog["next_ticket"],
+            kind_of(running.forward.rank),
+            running.forward,
+            now,
+            decision.expires_at,
+            deadline,
         )
         running.waiting = waiting
         put_in_queue(self.backlog, waiting)
@@ -174,7 +184,7 @@
 
     def _start(self, running: RunningForward, deadline: float) -> None:
         now = self.loop.time()
-        record_start(self.backlog)
+        record_start(self.backlog, running.forward)
         running.started_at = now
         running.parent = RunningParent(deadline, self.lineage["next_ticket"], running.forward.rank)
         add_parent(self.lineage, running.parent)
@@ -246,7 +256,8 @@
             return
         outcome = self.dialect.decode(result)
         if isinstance(outcome, TargetAnswer):
-            record_duration(self.backlog, self.loop.time() - running.started_at)
+            now = self.loop.time()
+            record_duration(self.backlog, running.forward, now - running.started_at, now)
         self._end(running, outcome)
 
     def _end(self, running: RunningForward, outcome: ForwardOutcome) -> None:
@@ -260,7 +271,7 @@
             # Closing the connection tells the target to stop.
             running.connection.abort()
         running.connection = None
-        record_end(self.backlog)
+        record_end(self.backlog, running.forward)
         self._settle(running, outcome)
         self.start_waiting()
 
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -6,7 +6,7 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
-from jacinthsail.internal.model.backlog import BacklogState
+from jacinthsail.internal.model.backlog import BacklogState, WorkKind
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import ReadingState
@@ -47,6 +47,10 @@
             "in_flight": ("Requests at the own target", backlog["in_flight"]),
             "queued": ("Requests that wait for the own target", len(backlog["tickets"])),
             "limit": ("Requests that may be at the own target", backlog["slots"]),
+            "new_limit": (
+                "New requests that may be at the own target",
+                backlog["lanes"][WorkKind.NEW]["limit"],
+            ),
             "targets": ("Targets that are published", len(fleet["targets"])),
             "store_reads": ("Answered reads of the platform's store", reading["reads"]),
             "manifest_version": (
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -175,11 +175,13 @@
         forward.rank,
         remaining_s,
         patience_s,
+        good_within_s,
         forward.headLines,
         forward.body,
     ) = message.forward
     forward.remainingMs = milliseconds(remaining_s)
     forward.patienceMs = milliseconds(patience_s)
+    forward.goodWithinMs = milliseconds(good_within_s)
 
 
 @_fill.register
@@ -205,6 +207,7 @@
     builder.queued = load.queued
     builder.limit = load.limit
     builder.meanUs = min(MAX_UINT32, int(load.mean_s * 1_000_000))
+    builder.newWaitMs = milliseconds(load.new_wait_s)
 
 
 def milliseconds(seconds: float) -> int:
@@ -340,6 +343,7 @@
             forward.rank,
             forward.remainingMs / 1000,
             forward.patienceMs / 1000,
+            forward.goodWithinMs / 1000,
             bytes(forward.headLines),
             bytes(forward.body),
         ),
@@ -372,7 +376,13 @@
 
 
 def _load(reader: Any) -> LoadReport:
-    return LoadReport(reader.inFlight, reader.queued, reader.limit, reader.meanUs / 1_000_000)
+    return LoadReport(
+        reader.inFlight,
+        reader.queued,
+        reader.limit,
+        reader.meanUs / 1_000_000,
+        reader.newWaitMs / 1000,
+    )
 
 
 def _item_version(reader: Any) -> ItemVersion:
--- a/src/jacinthsail/internal/commands/backlog.py
+++ b/src/jacinthsail/internal/commands/backlog.py
@@ -2,8 +2,14 @@
 
 import heapq
 
-from jacinthsail.internal.model.backlog import BacklogState, WaitingForward
-from jacinthsail.internal.queries.backlog import has_stale_head
+from jacinthsail.internal.model.backlog import BacklogState, WaitingForward, WorkKind
+from jacinthsail.internal.model.exchange import Forward
+from jacinthsail.internal.queries.backlog import (
+    has_stale_head,
+    is_good_time,
+    kind_of,
+    limit_after,
+)
 
 # Weight of one more request in the mean time of the target.
 MEAN_WEIGHT = 0.05
@@ -12,39 +18,56 @@
 def put_in_queue(backlog: BacklogState, waiting: WaitingForward) -> None:
     """Let a request wait."""
     rank = waiting.forward.rank
+    lane = backlog["lanes"][waiting.kind]
     backlog["next_ticket"] = waiting.ticket + 1
     backlog["tickets"][waiting.ticket] = waiting
-    backlog["waiting_by_rank"][rank] = backlog["waiting_by_rank"].get(rank, 0) + 1
-    heapq.heappush(backlog["waiting"], (rank, waiting.ticket))
+    lane["by_rank"][rank] = lane["by_rank"].get(rank, 0) + 1
+    heapq.heappush(lane["waiting"], (rank, waiting.ticket))
 
 
 def leave_queue(backlog: BacklogState, waiting: WaitingForward) -> None:
     """Remove a request that starts, expired or was given up."""
     if backlog["tickets"].pop(waiting.ticket, None) is None:
         return
-    backlog["waiting_by_rank"][waiting.forward.rank] -= 1
-    while has_stale_head(backlog):
-        heapq.heappop(backlog["waiting"])
+    lane = backlog["lanes"][waiting.kind]
+    lane["by_rank"][waiting.forward.rank] -= 1
+    while has_stale_head(backlog, lane):
+        heapq.heappop(lane["waiting"])
 
 
-def record_start(backlog: BacklogState) -> None:
+def record_start(backlog: BacklogState, forward: Forward) -> None:
     """Count a request that was sent to the target."""
     backlog["in_flight"] += 1
+    backlog["lanes"][kind_of(forward.rank)]["in_flight"] += 1
 
 
-def record_end(backlog: BacklogState) -> None:
+def record_end(backlog: BacklogState, forward: Forward) -> None:
     """Count a request that left the target."""
     backlog["in_flight"] -= 1
+    backlog["lanes"][kind_of(forward.rank)]["in_flight"] -= 1
 
 
-def record_duration(backlog: BacklogState, duration_s: float) -> None:
-    """Update the mean time of the target."""
-    backlog["mean_s"] += MEAN_WEIGHT * (duration_s - backlog["mean_s"])
+def record_duration(backlog: BacklogState, forward: Forward, duration_s: float, now: float) -> None:
+    """Update the mean time of the target, and the limit on new requests."""
+    kind = kind_of(forward.rank)
+    lane = backlog["lanes"][kind]
+    lane["mean_s"] += MEAN_WEIGHT * (duration_s - lane["mean_s"])
+    if kind is WorkKind.NESTED:
+        return
+    limit = limit_after(backlog, lane, is_good_time(forward, duration_s), now)
+    if limit < lane["limit"]:
+        lane["lowered_at"] = now
+    lane["limit"] = limit
 
 
 def set_slots(backlog: BacklogState, slots: int) -> None:
     """Set how many requests may be at the target."""
-    backlog["slots"] = max(1, slots)
+    slots = max(1, slots)
+    if slots == backlog["slots"]:
+        return
+    backlog["slots"] = slots
+    for lane in backlog["lanes"].values():
+        lane["limit"] = float(slots)
 
 
 def set_target_leaving(backlog: BacklogState, leaving: bool) -> None:
--- a/src/jacinthsail/internal/model/backlog.py
+++ b/src/jacinthsail/internal/model/backlog.py
@@ -1,35 +1,53 @@
 """The queue in front of a node's own target when the target itself takes HTTP requests."""
 
+from enum import StrEnum
 from typing import NamedTuple, TypedDict
 
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.exchange import Forward
 
 
+class WorkKind(StrEnum):
+    """Whether a request begins a chain of calls or continues one."""
+
+    NEW = "new"
+    NESTED = "nested"
+
+
 class WaitingForward(NamedTuple):
     """A request that waits for a slot; times are monotonic seconds."""
 
     ticket: int
+    kind: WorkKind
     forward: Forward
     arrived_at: float
     expires_at: float
     deadline: float
 
 
-class BacklogState(TypedDict):
-    """Requests that wait or run at the own target.
+class Lane(TypedDict):
+    """The requests of one kind.
 
-    ``waiting`` is a heap of (rank, ticket); ``tickets`` holds those that still wait. ``mean_s`` is
-    the mean time that the target takes for a request.
+    ``waiting`` is a heap of (rank, ticket), ``by_rank`` counts those that still wait. ``limit``
+    bounds how many may be at the target, ``mean_s`` is the mean time that the target takes.
     """
 
+    waiting: list[tuple[int, int]]
+    by_rank: dict[int, int]
+    in_flight: int
+    limit: float
+    lowered_at: float
+    mean_s: float
+
+
+class BacklogState(TypedDict):
+    """Requests that wait or run at the own target; ``tickets`` holds those that wait."""
+
     slots: int
     in_flight: int
-    waiting: list[tuple[int, int]]
+    lanes: dict[WorkKind, Lane]
     tickets: dict[int, WaitingForward]
-    waiting_by_rank: dict[int, int]
     next_ticket: int
-    mean_s: float
     draining: bool
     stopped: bool
 
--- a/src/jacinthsail/internal/model/exchange.py
+++ b/src/jacinthsail/internal/model/exchange.py
@@ -10,7 +10,8 @@
     """A request as it travels between nodes.
 
     ``head_lines`` are the header lines for the target, ready to be written. ``remaining_s`` is the
-    time left when the request leaves a node, ``patience_s`` how much of it may pass in a queue.
+    time left when the request leaves a node, ``patience_s`` how much of it may pass in a queue, and
+    ``good_within_s`` the time within which an answer has its full value.
     """
 
     request_id: str
@@ -22,6 +23,7 @@
     rank: int
     remaining_s: float
     patience_s: float
+    good_within_s: float
     head_lines: bytes
     body: bytes
 
--- a/src/jacinthsail/internal/model/fleet.py
+++ b/src/jacinthsail/internal/model/fleet.py
@@ -25,12 +25,16 @@
 
 
 class LoadReport(NamedTuple):
-    """What the node of a target says of its queue; ``mean_s`` is the time that the target takes."""
+    """What the node of a target says of its queue.
+
+    ``mean_s`` is the time that the target takes, ``new_wait_s`` how long a new request would wait.
+    """
 
     in_flight: int
     queued: int
     limit: int
     mean_s: float
+    new_wait_s: float = 0.0
 
 
 class TargetView(TypedDict):
--- a/src/jacinthsail/internal/queries/backlog.py
+++ b/src/jacinthsail/internal/queries/backlog.py
@@ -3,14 +3,17 @@
 from jacinthsail.internal.model.backlog import (
     BacklogDecision,
     BacklogState,
+    Lane,
     Reject,
     StartNow,
     Wait,
     WaitingForward,
+    WorkKind,
 )
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.exchange import Forward
 from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.queries.lineage import RANKS_PER_PRIORITY
 
 # Assumed until the target has answered once.
 INITIAL_MEAN_S = 0.05
@@ -19,9 +22,50 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
 
-# Requests of one rank that may wait, as a multiple of the slots; a bound for memory.
+# Requests that may wait, as a multiple of the slots; a bound for memory.
 MAX_WAITING_PER_SLOT = 20
 
+# New requests are held back while answers take longer than this share of the time in which they
+# have their full value; the rest is for what the caller's own node and the links add.
+GOOD_SHARE = 0.7
+
+# Answers that left the target before a lower limit took effect do not lower it again.
+LOWERING_INTERVAL_S = 0.1
+LOWERING_FACTOR = 0.93
+
+# Slots that new requests keep in any case, so that the limit notices when the target recovers.
+MIN_NEW_SHARE = 0.1
+
+
+def new_lane(slots: int) -> Lane:
+    """Return an empty lane."""
+    return Lane(
+        waiting=[],
+        by_rank={},
+        in_flight=0,
+        limit=float(slots),
+        lowered_at=float("-inf"),
+        mean_s=INITIAL_MEAN_S,
+    )
+
+
+def new_backlog(slots: int) -> BacklogState:
+    """Return the queue of a node that has just started."""
+    return BacklogState(
+        slots=slots,
+        in_flight=0,
+        lanes={kind: new_lane(slots) for kind in WorkKind},
+        tickets={},
+        next_ticket=1,
+        draining=False,
+        stopped=False,
+    )
+
+
+def kind_of(rank: int) -> WorkKind:
+    """Return whether a rank stands for a new request or a nested call."""
+    return WorkKind.NEW if rank % RANKS_PER_PRIORITY else WorkKind.NESTED
+
 
 def decide_backlog(backlog: BacklogState, forward: Forward, now: float) -> BacklogDecision:
     """Return whether a request starts, waits or is rejected.
@@ -31,45 +75,59 @@
     """
     if backlog["stopped"] or backlog["draining"]:
         return Reject(Reason.DRAINING, MIN_RETRY_AFTER_S)
-    if backlog["in_flight"] < backlog["slots"] and not backlog["tickets"]:
+    kind = kind_of(forward.rank)
+    lane = backlog["lanes"][kind]
+    if has_room(backlog, lane) and not lane["waiting"]:
         return StartNow()
     if len(backlog["tickets"]) >= MAX_WAITING_PER_SLOT * backlog["slots"]:
-        return Reject(Reason.QUEUE_FULL, retry_after_s(backlog))
+        return Reject(Reason.QUEUE_FULL, retry_after_s(backlog, lane))
     if wait_for_rank_s(backlog, forward.rank) > forward.patience_s:
-        return Reject(Reason.QUEUE_FULL, retry_after_s(backlog))
+        return Reject(Reason.QUEUE_FULL, retry_after_s(backlog, lane))
     return Wait(now + forward.patience_s)
 
 
+def has_room(backlog: BacklogState, lane: Lane) -> bool:
+    """Tell whether one more request of a kind may be at the target."""
+    return backlog["in_flight"] < backlog["slots"] and lane["in_flight"] < int(lane["limit"])
+
+
 def wait_for_rank_s(backlog: BacklogState, rank: int) -> float:
     """Return how long a request of a rank would wait for a slot."""
+    lane = backlog["lanes"][kind_of(rank)]
     ahead = 1
-    for other, count in backlog["waiting_by_rank"].items():
+    for other, count in lane["by_rank"].items():
         if other <= rank:
             ahead += count
-    return ahead * backlog["mean_s"] / max(1, backlog["slots"])
+    return ahead * lane["mean_s"] / room_of(backlog, lane)
+
+
+def room_of(backlog: BacklogState, lane: Lane) -> float:
+    """Return how many requests of a kind can be at the target beside those of other kinds."""
+    others = backlog["in_flight"] - lane["in_flight"]
+    return max(1.0, min(lane["limit"], float(backlog["slots"] - others)))
 
 
-def retry_after_s(backlog: BacklogState) -> float:
+def retry_after_s(backlog: BacklogState, lane: Lane) -> float:
     """Return after which time the requests that wait now will have started."""
-    wait_s = (len(backlog["tickets"]) + 1) * backlog["mean_s"] / max(1, backlog["slots"])
+    queued = sum(lane["by_rank"].values())
+    wait_s = (queued + 1) * lane["mean_s"] / room_of(backlog, lane)
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
 
 def next_waiting(backlog: BacklogState) -> WaitingForward | None:
-    """Return the request that starts next, or None when no slot is free or nothing waits."""
-    if backlog["in_flight"] >= backlog["slots"] or not backlog["waiting"]:
-        return None
-    return backlog["tickets"].get(backlog["waiting"][0][1])
+    """Return the request that starts next, or None when nothing may start."""
+    best: tuple[int, int] | None = None
+    for lane in backlog["lanes"].values():
+        if not lane["waiting"] or not has_room(backlog, lane):
+            continue
+        if best is None or lane["waiting"][0] < best:
+            best = lane["waiting"][0]
+    return None if best is None else backlog["tickets"][best[1]]
 
 
-def has_free_slot(backlog: BacklogState) -> bool:
-    """Tell whether the target can take a request now."""
-    return backlog["in_flight"] < backlog["slots"]
-
-
-def has_stale_head(backlog: BacklogState) -> bool:
-    """Tell whether the first place of the queue belongs to a request that no longer waits."""
-    return bool(backlog["waiting"]) and backlog["waiting"][0][1] not in backlog["tickets"]
+def has_stale_head(backlog: BacklogState, lane: Lane) -> bool:
+    """Tell whether the first place of a lane belongs to a request that no longer waits."""
+    return bool(lane["waiting"]) and lane["waiting"][0][1] not in backlog["tickets"]
 
 
 def expired_waiting(backlog: BacklogState, now: float) -> tuple[WaitingForward, ...]:
@@ -77,8 +135,38 @@
     return tuple(one for one in backlog["tickets"].values() if now >= one.expires_at)
 
 
+def limit_after(backlog: BacklogState, lane: Lane, is_good: bool, now: float) -> float:
+    """Return the limit of a lane after one more answer, which came in good time or not.
+
+    The time includes the calls that the target makes, so the limit also falls when a service behind
+    the target is the bottleneck: then the work waits here, where nothing has run yet.
+    """
+    if is_good:
+        return min(float(backlog["slots"]), lane["limit"] + 1.0 / max(1.0, lane["limit"]))
+    if now - lane["lowered_at"] < LOWERING_INTERVAL_S:
+        return lane["limit"]
+    return max(1.0, MIN_NEW_SHARE * backlog["slots"], lane["limit"] * LOWERING_FACTOR)
+
+
+def is_good_time(forward: Forward, duration_s: float) -> bool:
+    """Tell whether an answer came early enough to have its full value."""
+    return duration_s <= GOOD_SHARE * forward.good_within_s
+
+
 def load_report(backlog: BacklogState) -> LoadReport:
     """Return what other nodes are told of the queue."""
+    new = backlog["lanes"][WorkKind.NEW]
+    new_wait_s = 0.0
+    if new["waiting"]:
+        new_wait_s = (sum(new["by_rank"].values()) + 1) * new["mean_s"] / room_of(backlog, new)
+    in_flight = max(1, backlog["in_flight"])
+    mean_s = 0.0
+    for lane in backlog["lanes"].values():
+        mean_s += lane["mean_s"] * lane["in_flight"] / in_flight
     return LoadReport(
-        backlog["in_flight"], len(backlog["tickets"]), backlog["slots"], backlog["mean_s"]
+        backlog["in_flight"],
+        len(backlog["tickets"]),
+        backlog["slots"],
+        mean_s or min(lane["mean_s"] for lane in backlog["lanes"].values()),
+        new_wait_s,
     )
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from jacinthsail.internal.model.backlog import WorkKind
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.exchange import Exchange
 from jacinthsail.internal.model.fleet import (
@@ -16,18 +17,20 @@
     TargetView,
 )
 from jacinthsail.internal.model.membership import Distance
+from jacinthsail.internal.queries.backlog import kind_of
 
 # Typical round trips plus the cost of the bytes, as time that a caller would wait instead.
 DISTANCE_COST_S = {
     Distance.OWN_DOMAIN: 0.0,
     Distance.OWN_REGION: 0.02,
-    Distance.OTHER_REGION: 0.2,
+    Distance.OTHER_REGION: 0.1,
 }
 
 # A target nearby is good enough while its answer is expected within this share of the time in which
 # it has its full value. Links between failure domains and regions are slow and billed by volume, so
-# a call goes further only if it would be late or refused nearby.
-NEAR_SHARE = 0.85
+# a call goes further only if it would be late or refused nearby. Several nested calls share the
+# time of one request, so each may use less of it.
+NEAR_SHARE = {WorkKind.NEW: 0.6, WorkKind.NESTED: 0.3}
 
 # A report older than this says little of the queue, so calls may probe the target again.
 REPORT_VALID_S = 0.5
@@ -49,7 +52,8 @@
     candidates = candidates_for(fleet, place, exchange, now)
     if not candidates:
         return NoTarget(Reason.NO_TARGET, RETRY_WITHOUT_TARGET_S)
-    enough_s = NEAR_SHARE * exchange["route"].target_latency_s
+    kind = kind_of(exchange["rank"])
+    enough_s = NEAR_SHARE[kind] * exchange["route"].target_latency_s
     best: Candidate | None = None
     for distance in Distance:
         group = [candidate for candidate in candidates if candidate.distance is distance]
@@ -91,6 +95,7 @@
     """Return the targets that may take the request, suspected ones only if there are no others."""
     usable = []
     suspected = []
+    kind = kind_of(exchange["rank"])
     is_bound = len(exchange["offered"]) >= exchange["route"].max_attempts
     for entry in fleet["by_service"].get(exchange["service"], ()):
         if entry.leaving or entry.incarnation in exchange["tried"]:
@@ -100,7 +105,7 @@
         view = fleet["views"].get(entry.incarnation)
         if view is not None and view["draining"]:
             continue
-        candidate = candidate_of(entry, view, place, now)
+        candidate = candidate_of(entry, view, place, kind, now)
         if view is not None and now < view["suspected_until"]:
             suspected.append(candidate)
             continue
@@ -109,27 +114,30 @@
 
 
 def candidate_of(
-    entry: TargetEntry, view: TargetView | None, place: NodePlace, now: float
+    entry: TargetEntry, view: TargetView | None, place: NodePlace, kind: WorkKind, now: float
 ) -> Candidate:
     """Return a target with the time that its answer is expected to take."""
     is_own = entry.host == place.host
     wait_s = 0.0
     mean_s = DEFAULT_MEAN_S
     if view is not None:
-        wait_s = expected_wait_s(view, entry, now)
+        wait_s = expected_wait_s(view, entry, kind, now)
         mean_s = view["report"].mean_s or DEFAULT_MEAN_S
     distance = distance_to(entry, place)
     return Candidate(entry, distance, is_own, wait_s + mean_s, wait_s)
 
 
-def expected_wait_s(view: TargetView, entry: TargetEntry, now: float) -> float:
+def expected_wait_s(view: TargetView, entry: TargetEntry, kind: WorkKind, now: float) -> float:
     """Return how long a call would wait for a slot, from the last report and the calls since."""
     report = view["report"]
     limit = report.limit or entry.slots
     load = view["in_flight"]
+    new_wait_s = 0.0
     if now - view["reported_at"] <= REPORT_VALID_S:
         load = max(load, report.in_flight + report.queued)
-    return max(0, load + 1 - limit) * (report.mean_s or DEFAULT_MEAN_S) / max(1, limit)
+        new_wait_s = report.new_wait_s if kind is WorkKind.NEW else 0.0
+    wait_s = max(0, load + 1 - limit) * (report.mean_s or DEFAULT_MEAN_S) / max(1, limit)
+    return max(wait_s, new_wait_s)
 
 
 def distance_to(entry: TargetEntry, place: NodePlace) -> Distance:
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -1,7 +1,6 @@
 """Targets, routes and requests for tests of the platform front end."""
 
 from jacinthsail.internal.commands.fleet import install_manifest, put_target
-from jacinthsail.internal.model.backlog import BacklogState
 from jacinthsail.internal.model.document import Execution
 from jacinthsail.internal.model.exchange import Exchange, Forward, RequestFacts
 from jacinthsail.internal.model.fleet import NodePlace, TargetEntry
@@ -13,6 +12,7 @@
     ServiceTerms,
 )
 from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.queries.backlog import new_backlog
 from jacinthsail.internal.queries.fleet_view import new_fleet
 
 PLACE = NodePlace("node-1", "10.0.0.1", "manila", "luzon", "drafts", 8000)
@@ -106,23 +106,17 @@
         rank=rank,
         remaining_s=remaining_s,
         patience_s=patience_s,
+        good_within_s=0.5,
         head_lines=b"Host: h.example\r\n",
         body=b"",
     )
 
 
 def backlog(slots=2, mean_s=0.1):
-    return BacklogState(
-        slots=slots,
-        in_flight=0,
-        waiting=[],
-        tickets={},
-        waiting_by_rank={},
-        next_ticket=1,
-        mean_s=mean_s,
-        draining=False,
-        stopped=False,
-    )
+    state = new_backlog(slots)
+    for lane in state["lanes"].values():
+        lane["mean_s"] = mean_s
+    return state
 
 
 def repeats(ratio=0.2, window_s=10.0, extra=5.0):
--- a/tests/fast/test_backlog.py
+++ b/tests/fast/test_backlog.py
@@ -8,15 +8,17 @@
 from jacinthsail.internal.commands.backlog import (
     leave_queue,
     put_in_queue,
+    record_duration,
     record_end,
     record_start,
     set_target_leaving,
 )
-from jacinthsail.internal.model.backlog import Reject, StartNow, Wait, WaitingForward
+from jacinthsail.internal.model.backlog import Reject, StartNow, Wait, WaitingForward, WorkKind
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.queries.backlog import (
     decide_backlog,
     expired_waiting,
+    kind_of,
     load_report,
     next_waiting,
 )
@@ -26,7 +28,8 @@
 
 
 def enqueue(state, one, now=0.0):
-    waiting = WaitingForward(state["next_ticket"], one, now, now + one.patience_s, now + 2.0)
+    kind = kind_of(one.rank)
+    waiting = WaitingForward(state["next_ticket"], kind, one, now, now + one.patience_s, now + 2.0)
     put_in_queue(state, waiting)
     return waiting
 
@@ -34,7 +37,7 @@
 def full(slots=2, mean_s=0.1):
     state = backlog(slots, mean_s)
     for _ in range(slots):
-        record_start(state)
+        record_start(state, forward(rank=2))
     return state
 
 
@@ -60,10 +63,10 @@
         """A filing would be refused because lookups fill the queue."""
         state = full()
         for _ in range(20):
-            enqueue(state, forward(rank=2))
-        self.assertIsInstance(decide_backlog(state, forward(rank=0, patience_s=0.5), 0.0), Wait)
-        important = enqueue(state, forward(rank=0))
-        record_end(state)
+            enqueue(state, forward(rank=5))
+        self.assertIsInstance(decide_backlog(state, forward(rank=1, patience_s=0.5), 0.0), Wait)
+        important = enqueue(state, forward(rank=1))
+        record_end(state, forward(rank=2))
         self.assertEqual(next_waiting(state), important)
 
     def test_leaving_target_takes_nothing_new(self):
@@ -72,6 +75,30 @@
         set_target_leaving(state, True)
         self.assertEqual(decide_backlog(state, forward(), 0.0).reason, Reason.DRAINING)
 
+    def test_late_answers_hold_new_requests_back_and_good_ones_let_them_in(self):
+        """A slow service behind the target would be flooded with work that ends too late."""
+        state = full(slots=20)
+        for number in range(40):
+            record_duration(state, forward(rank=3), 0.45, number * 0.2)
+        limit = state["lanes"][WorkKind.NEW]["limit"]
+        self.assertEqual(limit, 2.0)
+        record_end(state, forward(rank=2))
+        self.assertIsInstance(decide_backlog(state, forward(rank=2), 9.0), StartNow)
+        for number in range(300):
+            record_duration(state, forward(rank=3), 0.1, 9.0 + number * 0.01)
+        self.assertEqual(state["lanes"][WorkKind.NEW]["limit"], 20.0)
+
+    def test_nested_calls_do_not_wait_behind_held_back_requests(self):
+        """Work that is nearly done would be lost behind work that has not begun."""
+        state = full(slots=4)
+        state["lanes"][WorkKind.NEW]["limit"] = 1.0
+        state["lanes"][WorkKind.NEW]["in_flight"] = 1
+        for _ in range(5):
+            enqueue(state, forward(rank=1))
+        nested = enqueue(state, forward(rank=4))
+        record_end(state, forward(rank=2))
+        self.assertEqual(next_waiting(state), nested)
+
     def test_expired_requests_are_found(self):
         """A request must not be held once it cannot be served."""
         state = full()
@@ -91,11 +118,12 @@
                 leave_queue(state, waiting)
                 continue
             expected.append((rank, waiting.ticket))
-        record_end(state)
+        record_end(state, forward(rank=2))
         served = []
         while (waiting := next_waiting(state)) is not None:
             leave_queue(state, waiting)
             served.append((waiting.forward.rank, waiting.ticket))
         self.assertEqual(served, sorted(expected))
         self.assertEqual(load_report(state).queued, 0)
-        self.assertEqual(sum(state["waiting_by_rank"].values()), 0)
+        for lane in state["lanes"].values():
+            self.assertEqual(sum(lane["by_rank"].values()), 0)
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -38,13 +38,15 @@
     Goodbye(),
     ForwardRequest(
         9,
-        Forward("id", "GET", b"/a/b", "drafts", "i-1", True, 2, 1.5, 0.25, b"A: b\r\n", b"body"),
+        Forward(
+            "id", "GET", b"/a/b", "drafts", "i-1", True, 2, 1.5, 0.25, 0.5, b"A: b\r\n", b"body"
+        ),
     ),
-    ForwardReply(9, TargetAnswer(200, b"A: b\r\n", b"body"), LoadReport(3, 4, 5, 0.25)),
-    ForwardReply(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LoadReport(3, 4, 5, 0.25)),
-    ForwardReply(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LoadReport(3, 4, 5, 0.25)),
+    ForwardReply(9, TargetAnswer(200, b"A: b\r\n", b"body"), LoadReport(3, 4, 5, 0.25, 0.5)),
+    ForwardReply(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LoadReport(3, 4, 5, 0.25, 0.5)),
+    ForwardReply(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LoadReport(3, 4, 5, 0.25, 0.5)),
     Ping(),
-    Pong(LoadReport(3, 4, 5, 0.25)),
+    Pong(LoadReport(3, 4, 5, 0.25, 0.5)),
 )
 
 
