Log what decides about a request, explain chains, and use restarted nodes again

Cause: a target whose node had refused work as draining was never used again after the node's restart; explain knew no chains and no lines of the platform's front end.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -29,9 +29,9 @@
     advance_split,
     record_call_end,
     record_call_sent,
-    record_draining,
-    record_target_failure,
-    record_target_success,
+    record_node_stops,
+    record_target_outcome,
+    record_target_unreachable,
 )
 from jacinthsail.internal.commands.repeats import record_first, record_repeat
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
@@ -57,10 +57,12 @@
 )
 from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.repeats import RepeatState
-from jacinthsail.internal.queries.lineage import rank_on_arrival
+from jacinthsail.internal.queries.fleet_view import manifest_version
+from jacinthsail.internal.queries.lineage import parent_of, rank_on_arrival
 from jacinthsail.internal.queries.manifest_routes import decide_entry
 from jacinthsail.internal.queries.next_steps import (
     REFUSED_BY_TARGET,
+    REPEATED_STATUSES,
     STATUS_TIMEOUT,
     give_up_after_not_run,
     is_repeatable,
@@ -167,6 +169,7 @@
         self.head_lines = entry.dialect.head_lines(request, entry.place.service)
         self.respond: Callable[[HttpResponse], None] | None = respond
         self.handle: RequestHandle | None = None
+        parent = parent_of(entry.lineage, begin.deadline)
         self.exchange = Exchange(
             facts=facts,
             route=begin.route,
@@ -174,7 +177,8 @@
             arrived_at=now,
             deadline=begin.deadline,
             tried=set(),
-            rank=rank_on_arrival(entry.lineage, begin.route.priority, begin.deadline),
+            rank=rank_on_arrival(parent, begin.route.priority),
+            parent_id="" if parent is None else parent.request_id,
             offered=set(),
             bounces=0,
             refusals=0,
@@ -267,6 +271,9 @@
             rank=exchange["rank"],
             refusals=exchange["refusals"],
             took_ms=round(took_s * 1000, 1),
+            allowed_ms=round((exchange["deadline"] - exchange["arrived_at"]) * 1000),
+            parent=exchange["parent_id"],
+            manifest=manifest_version(self.entry.fleet),
         )
 
     def on_deadline(self) -> None:
@@ -300,7 +307,8 @@
 
 @_record.register
 def _(outcome: TargetAnswer, opened: OpenRequest, incarnation: str, now: float) -> None:
-    record_target_success(opened.entry.fleet, incarnation)
+    failed = outcome.status in REPEATED_STATUSES
+    record_target_outcome(opened.entry.fleet, incarnation, failed, now)
     record_failure(opened.exchange, may_have_run=True)
 
 
@@ -308,19 +316,22 @@
 def _(outcome: NotRun, opened: OpenRequest, incarnation: str, now: float) -> None:
     fleet = opened.entry.fleet
     if outcome.reason in REFUSED_BY_TARGET:
+        record_target_outcome(fleet, incarnation, True, now)
         record_target_refusal(opened.exchange)
         return
     if outcome.reason in _UNREACHABLE:
-        record_target_failure(fleet, incarnation, now)
+        record_target_unreachable(fleet, incarnation, now)
     if outcome.reason is Reason.DRAINING:
-        record_draining(fleet, incarnation, True)
+        record_node_stops(fleet, (incarnation,), now)
     record_refusal(opened.exchange)
 
 
 @_record.register
 def _(outcome: Unknown, opened: OpenRequest, incarnation: str, now: float) -> None:
     if outcome.reason is Reason.CONNECTION_LOST:
-        record_target_failure(opened.entry.fleet, incarnation, now)
+        record_target_unreachable(opened.entry.fleet, incarnation, now)
+    else:
+        record_target_outcome(opened.entry.fleet, incarnation, True, now)
     record_failure(opened.exchange, may_have_run=True)
 
 
@@ -346,7 +357,10 @@
         step.reason,
         now,
         service=exchange["service"],
-        tried=len(exchange["tried"]),
+        offered=len(exchange["offered"]),
+        bounces=exchange["bounces"],
+        refusals=exchange["refusals"],
+        left_ms=round((exchange["deadline"] - now) * 1000),
     )
     if step.spends:
         record_repeat(opened.entry.repeats, exchange["service"], now)
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -26,7 +26,11 @@
 from jacinthsail.internal.adapters.request_metrics import RequestMetrics
 from jacinthsail.internal.adapters.store_follower import StoreClient, StoreFollower
 from jacinthsail.internal.commands.backlog import set_slots, set_target_leaving, stop_new_work
-from jacinthsail.internal.commands.fleet import record_load
+from jacinthsail.internal.commands.fleet import (
+    record_load,
+    record_node_started,
+    record_node_stops,
+)
 from jacinthsail.internal.commands.repeats import set_budget
 from jacinthsail.internal.commands.store_reading import end_lapses
 from jacinthsail.internal.model.calls import Reason
@@ -36,7 +40,12 @@
 from jacinthsail.internal.model.messages import Hello
 from jacinthsail.internal.model.repeats import RepeatState
 from jacinthsail.internal.queries.backlog import new_backlog
-from jacinthsail.internal.queries.fleet_view import new_fleet, node_count, own_target
+from jacinthsail.internal.queries.fleet_view import (
+    new_fleet,
+    node_count,
+    own_target,
+    targets_on,
+)
 from jacinthsail.internal.queries.store_reading import new_reading
 
 _LOG = logging.getLogger("jacinthsail.node")
@@ -57,6 +66,9 @@
 # they send requests that have to be served.
 READINESS_NOTICE_S = 2.6
 
+# Requests at the own target have nearly all ended by then; longer waits would let in new callers.
+OWN_CALLS_S = 0.6
+
 STOP_POLL_S = 0.05
 
 # The settings file may change without a signal; reading it costs less than 1 ms.
@@ -94,7 +106,7 @@
         settings = self.settings
         incarnation = uuid4().hex
         self.is_leaving = False
-        self.fleet = new_fleet()
+        self.fleet = new_fleet(settings.place)
         self.reading = new_reading()
         self.backlog = new_backlog(FIRST_SLOTS)
         budget = settings.budget
@@ -116,6 +128,8 @@
             self.own_target,
             {"control_bytes_sent": 0, "control_bytes_received": 0},
             self._on_load,
+            self._on_peer_started,
+            self._on_peer_stops,
         )
         self.metrics = RequestMetrics()
         self.entry = Entry(
@@ -149,6 +163,13 @@
     def _on_load(self, incarnation: str, report: LoadReport) -> None:
         record_load(self.fleet, incarnation, report, asyncio.get_running_loop().time())
 
+    def _on_peer_started(self, host: str) -> None:
+        record_node_started(self.fleet, targets_on(self.fleet, host))
+
+    def _on_peer_stops(self, host: str) -> None:
+        now = asyncio.get_running_loop().time()
+        record_node_stops(self.fleet, targets_on(self.fleet, host), now)
+
     def on_published(self) -> None:
         """Apply what is published of the own target, the limits and the size of the fleet."""
         budget = self.settings.budget
@@ -229,9 +250,10 @@
         self.links.say_goodbye()
         self.own_target.refuse_waiting(Reason.DRAINING)
         self.callers_port.is_closing = True
-        while loop.time() < latest and (
-            loop.time() < started + READINESS_NOTICE_S or self._has_work()
-        ):
+        await asyncio.sleep(max(0.0, min(latest, started + READINESS_NOTICE_S) - loop.time()))
+        # The own target may still make calls for the requests that it finishes.
+        own_calls_until = min(latest, loop.time() + OWN_CALLS_S)
+        while loop.time() < own_calls_until and self.backlog["in_flight"]:
             await asyncio.sleep(STOP_POLL_S)
         self.callers_port.close_listener()
         self.callers_port.close_idle()
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -12,6 +12,9 @@
 
 import httptools
 
+from jacinthsail.internal.adapters.decision_log import log_request
+from jacinthsail.internal.model.calls import Reason
+
 # Requests of one connection that are served at the same time; more wait unread in the socket.
 MAX_PIPELINED = 32
 
@@ -27,6 +30,13 @@
 STATUS_BODY_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
 
+_REJECTIONS = {
+    STATUS_BAD_REQUEST: Reason.MALFORMED_REQUEST,
+    STATUS_REQUEST_TIMEOUT: Reason.SLOW_CALLER,
+    STATUS_BODY_TOO_LARGE: Reason.BODY_TOO_LARGE,
+    STATUS_HEADERS_TOO_LARGE: Reason.HEADERS_TOO_LARGE,
+}
+
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
 }
@@ -300,6 +310,8 @@
         self.is_finished = True
         self.in_message = False
         self.in_head = False
+        now = asyncio.get_running_loop().time()
+        log_request("refused", "", _REJECTIONS[status], now, status=status)
         pending = PendingResponse(self, True, False)
         self.pending.append(pending)
         pending.respond(HttpResponse(status, b"", b""))
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from jacinthsail.internal.adapters.decision_log import log_request
 from jacinthsail.internal.adapters.http_client import (
     Broken,
     ExchangeResult,
@@ -53,6 +54,8 @@
 
 RETRY_AFTER_UNREACHABLE_S = 0.3
 
+STATUS_SERVER_ERROR = 500
+
 OnOutcome = Callable[[ForwardOutcome], None]
 
 
@@ -129,6 +132,7 @@
         running = RunningForward(self, forward, on_outcome)
         decision = decide_backlog(self.backlog, forward, now)
         if isinstance(decision, Reject):
+            self._log("rejected", running, decision.reason, now)
             self._settle(running, NotRun(decision.reason, 0, decision.retry_after_s))
             return running
         deadline = now + forward.remaining_s
@@ -157,6 +161,7 @@
         self.expiry = None
         for waiting in expired_waiting(self.backlog, self.loop.time()):
             running = self._take_from_queue(waiting)
+            self._log("expired", running, Reason.DEADLINE_TOO_SHORT, waiting.expires_at)
             self._settle(running, NotRun(Reason.DEADLINE_TOO_SHORT, 0, RETRY_AFTER_UNREACHABLE_S))
         if self.queued:
             self.expiry = self.loop.call_later(EXPIRY_INTERVAL_S, self._expire)
@@ -186,7 +191,12 @@
         now = self.loop.time()
         record_start(self.backlog, running.forward)
         running.started_at = now
-        running.parent = RunningParent(deadline, self.lineage["next_ticket"], running.forward.rank)
+        running.parent = RunningParent(
+            deadline,
+            self.lineage["next_ticket"],
+            running.forward.rank,
+            running.forward.request_id,
+        )
         add_parent(self.lineage, running.parent)
         running.timer = self.loop.call_at(
             deadline + DEADLINE_SLACK_S, self._end, running, Unknown(Reason.DEADLINE_EXPIRED, 0)
@@ -255,7 +265,8 @@
                 self._end(running, NotRun(Reason.TARGET_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
             return
         outcome = self.dialect.decode(result)
-        if isinstance(outcome, TargetAnswer):
+        if isinstance(outcome, TargetAnswer) and outcome.status < STATUS_SERVER_ERROR:
+            # A target that fails at once must not look fast.
             now = self.loop.time()
             record_duration(self.backlog, running.forward, now - running.started_at, now)
         self._end(running, outcome)
@@ -271,6 +282,8 @@
             # Closing the connection tells the target to stop.
             running.connection.abort()
         running.connection = None
+        if not isinstance(outcome, TargetAnswer):
+            self._log("target failed", running, outcome.reason, self.loop.time())
         record_end(self.backlog, running.forward)
         self._settle(running, outcome)
         self.start_waiting()
@@ -281,6 +294,24 @@
         if on_outcome is not None:
             on_outcome(outcome)
 
+    def _log(self, event: str, running: RunningForward, reason: Reason, now: float) -> None:
+        """Log a decision or a failure with the state of the queue that led to it."""
+        backlog = self.backlog
+        forward = running.forward
+        log_request(
+            event,
+            forward.request_id,
+            reason,
+            now,
+            rank=forward.rank,
+            incarnation=forward.incarnation,
+            in_flight=backlog["in_flight"],
+            slots=backlog["slots"],
+            queued=len(backlog["tickets"]),
+            patience_ms=round(forward.patience_s * 1000),
+            ran_ms=round((now - running.started_at) * 1000) if running.started_at else 0,
+        )
+
     def cancelled(self, running: RunningForward) -> None:
         """Give a request up whose caller went away."""
         if running.waiting is not None:
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -44,6 +44,7 @@
 
 OnOutcome = Callable[[ForwardOutcome], None]
 OnLoad = Callable[[str, LoadReport], None]
+OnPeer = Callable[[str], None]
 
 
 class PendingForward:
@@ -78,7 +79,6 @@
         self.host = host
         self.connection: PeerConnection | None = None
         self.is_greeted = False
-        self.is_peer_leaving = False
         self.waiting: list[PendingForward] = []
         self.pending: dict[int, PendingForward] = {}
         self.task: asyncio.Task[None] | None = None
@@ -108,7 +108,6 @@
 
     async def _connect(self) -> None:
         self.is_greeted = False
-        self.is_peer_leaving = False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, self.connection = await self.links.loop.create_connection(
@@ -194,13 +193,22 @@
     """All connections between this node and its peers, in both directions."""
 
     def __init__(
-        self, hello: Hello, port: int, own_target: OwnTarget, traffic: TrafficState, on_load: OnLoad
+        self,
+        hello: Hello,
+        port: int,
+        own_target: OwnTarget,
+        traffic: TrafficState,
+        on_load: OnLoad,
+        on_peer_started: OnPeer,
+        on_peer_stops: OnPeer,
     ) -> None:
         self.hello = hello
         self.port = port
         self.own_target = own_target
         self.traffic = traffic
         self.on_load = on_load
+        self.on_peer_started = on_peer_started
+        self.on_peer_stops = on_peer_stops
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, PeerLink] = {}
         self.inbound: dict[PeerConnection, dict[int, RunningForward]] = {}
@@ -233,11 +241,6 @@
             link = self.links[host] = PeerLink(self, host)
         return link.send(forward, on_outcome)
 
-    def is_peer_leaving(self, host: str) -> bool:
-        """Tell whether the node on a VM said that it stops."""
-        link = self.links.get(host)
-        return link is not None and link.is_peer_leaving
-
     def deliver(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message on a connection that a peer opened."""
         _on_request(message, self, connection)
@@ -278,6 +281,7 @@
 @_on_answer.register
 def _(message: Hello, link: PeerLink, connection: PeerConnection) -> None:
     link.is_greeted = True
+    link.links.on_peer_started(link.host)
     connection.greeted.set()
 
 
@@ -297,7 +301,7 @@
 
 @_on_answer.register
 def _(message: Goodbye, link: PeerLink, connection: PeerConnection) -> None:
-    link.is_peer_leaving = True
+    link.links.on_peer_stops(link.host)
     _LOG.info("peer %s stops; it gets nothing new", link.host)
 
 
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -10,6 +10,7 @@
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import ReadingState
+from jacinthsail.internal.queries.fleet_view import manifest_version
 
 # Upper bounds of the latency buckets, in seconds; they span a fast lookup and the longest time-out.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -53,10 +54,7 @@
             ),
             "targets": ("Targets that are published", len(fleet["targets"])),
             "store_reads": ("Answered reads of the platform's store", reading["reads"]),
-            "manifest_version": (
-                "Version of the manifest in force",
-                fleet["manifest"].version if fleet["manifest"] is not None else 0,
-            ),
+            "manifest_version": ("Version of the manifest in force", manifest_version(fleet)),
         }
         for name, (doc, value) in gauges.items():
             Gauge(f"jacinthsail_{name}", doc, registry=registry).set({}, value)
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -20,6 +20,7 @@
     StoreUnavailable,
     Unreadable,
 )
+from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.store_reading import next_read, pause_before_read_s
 
 _LOG = logging.getLogger("jacinthsail.store")
@@ -74,15 +75,11 @@
 
     def _apply(self, answer: StoreAnswer, now: float) -> None:
         failures = self.reading["failures"]
-        version = self._version()
+        version = manifest_version(self.fleet)
         apply_answer(answer, self.reading, self.fleet, now)
         self._log(answer, failures, version)
         self.on_change()
 
-    def _version(self) -> int:
-        manifest = self.fleet["manifest"]
-        return manifest.version if manifest is not None else 0
-
     def _log(self, answer: StoreAnswer, failures: int, version: int) -> None:
         if isinstance(answer, StoreUnavailable):
             if failures == 0:
@@ -90,8 +87,10 @@
             return
         if failures:
             _LOG.info("store answers again after %d failed reads", failures)
-        if self._version() != version:
-            _LOG.info("manifest %08x is in force, after %08x", self._version(), version)
+        if manifest_version(self.fleet) != version:
+            _LOG.info(
+                "manifest %08x is in force, after %08x", manifest_version(self.fleet), version
+            )
         if not isinstance(answer, Listing | Changes):
             _LOG.info("store has dropped its history; everything is read again")
             return
--- a/src/jacinthsail/internal/commands/backlog.py
+++ b/src/jacinthsail/internal/commands/backlog.py
@@ -11,7 +11,7 @@
     limit_after,
 )
 
-# Weight of one more request in the mean time of the target.
+# Weight of one more request in the mean time of the target and in the share of late answers.
 MEAN_WEIGHT = 0.05
 
 
@@ -54,7 +54,9 @@
     lane["mean_s"] += MEAN_WEIGHT * (duration_s - lane["mean_s"])
     if kind is WorkKind.NESTED:
         return
-    limit = limit_after(backlog, lane, is_good_time(forward, duration_s), now)
+    is_good = is_good_time(forward, duration_s)
+    lane["late_share"] += MEAN_WEIGHT * ((0.0 if is_good else 1.0) - lane["late_share"])
+    limit = limit_after(backlog, lane, is_good, now)
     if limit < lane["limit"]:
         lane["lowered_at"] = now
     lane["limit"] = limit
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -1,5 +1,7 @@
 """Changes to what a node knows of manifest, targets and their load."""
 
+from collections.abc import Iterable
+
 from jacinthsail.internal.model.fleet import (
     FleetState,
     Lapse,
@@ -7,7 +9,13 @@
     TargetEntry,
 )
 from jacinthsail.internal.model.manifest import Manifest, RoutePolicy
-from jacinthsail.internal.queries.fleet_view import by_service, new_view, suspicion_s
+from jacinthsail.internal.queries.fleet_view import (
+    DRAINING_PERIOD_S,
+    by_service,
+    failing_after,
+    new_view,
+    suspicion_s,
+)
 from jacinthsail.internal.queries.manifest_routes import index_of_routes
 
 
@@ -31,7 +39,7 @@
     if entry.incarnation not in fleet["views"]:
         fleet["views"][entry.incarnation] = new_view(entry)
     if known is None or known != entry:
-        fleet["by_service"] = by_service(fleet["targets"])
+        fleet["by_service"] = by_service(fleet["targets"], fleet["place"])
 
 
 def remove_target(fleet: FleetState, incarnation: str) -> None:
@@ -39,7 +47,7 @@
     fleet["lapses"].pop(incarnation, None)
     fleet["views"].pop(incarnation, None)
     if fleet["targets"].pop(incarnation, None) is not None:
-        fleet["by_service"] = by_service(fleet["targets"])
+        fleet["by_service"] = by_service(fleet["targets"], fleet["place"])
 
 
 def record_lapse(fleet: FleetState, incarnation: str, until: float) -> None:
@@ -82,16 +90,20 @@
     view["reported_at"] = now
 
 
-def record_target_success(fleet: FleetState, incarnation: str) -> None:
-    """Clear the suspicion of a target that answered."""
+def record_target_outcome(fleet: FleetState, incarnation: str, failed: bool, now: float) -> None:
+    """Keep whether a call to a target failed; any answer ends the suspicion that it is gone."""
     view = fleet["views"].get(incarnation)
-    if view is not None:
-        view["failures"] = 0
-        view["suspected_until"] = 0.0
+    if view is None:
+        return
+    view["failures"] = 0
+    view["suspected_until"] = 0.0
+    if failed or view["failing"]:
+        view["failing"] = failing_after(view, failed, now)
+        view["failing_at"] = now
 
 
-def record_target_failure(fleet: FleetState, incarnation: str, now: float) -> None:
-    """Avoid a target for a while because a call to it failed."""
+def record_target_unreachable(fleet: FleetState, incarnation: str, now: float) -> None:
+    """Avoid a target for a while because a call could not reach it or its node went silent."""
     view = fleet["views"].get(incarnation)
     if view is None:
         return
@@ -99,8 +111,19 @@
     view["suspected_until"] = now + suspicion_s(view["failures"])
 
 
-def record_draining(fleet: FleetState, incarnation: str, draining: bool) -> None:
-    """Keep whether the node of a target takes new work."""
-    view = fleet["views"].get(incarnation)
-    if view is not None:
-        view["draining"] = draining
+def record_node_stops(fleet: FleetState, incarnations: Iterable[str], now: float) -> None:
+    """Send nothing new to the targets of a node that stops."""
+    for incarnation in incarnations:
+        view = fleet["views"].get(incarnation)
+        if view is not None:
+            view["draining_until"] = now + DRAINING_PERIOD_S
+
+
+def record_node_started(fleet: FleetState, incarnations: Iterable[str]) -> None:
+    """Use the targets of a node again that has introduced itself."""
+    for incarnation in incarnations:
+        view = fleet["views"].get(incarnation)
+        if view is not None:
+            view["draining_until"] = 0.0
+            view["suspected_until"] = 0.0
+            view["failures"] = 0
--- a/src/jacinthsail/internal/model/fleet.py
+++ b/src/jacinthsail/internal/model/fleet.py
@@ -24,6 +24,24 @@
     warm_up_s: float
 
 
+class DistantTarget(NamedTuple):
+    """A target and how far it is from this node."""
+
+    entry: TargetEntry
+    distance: Distance
+
+
+class NodePlace(NamedTuple):
+    """Where this node is: its address, failure domain, region and the service of its target."""
+
+    name: str
+    host: str
+    failure_domain: str
+    region: str
+    service: str
+    target_port: int
+
+
 class LoadReport(NamedTuple):
     """What the node of a target says of its queue.
 
@@ -40,7 +58,8 @@
 class TargetView(TypedDict):
     """One target as seen from this node; times are monotonic seconds.
 
-    ``in_flight`` counts the calls sent from here that have no outcome yet.
+    ``in_flight`` counts the calls sent from here that have no outcome yet. ``failing`` is the mean
+    share of calls that failed there, as of ``failing_at``.
     """
 
     report: LoadReport
@@ -48,7 +67,9 @@
     in_flight: int
     failures: int
     suspected_until: float
-    draining: bool
+    failing: float
+    failing_at: float
+    draining_until: float
 
 
 class Lapse(NamedTuple):
@@ -59,38 +80,30 @@
 
 
 class FleetState(TypedDict):
-    """The published manifest and targets, and what calls have shown of each target."""
+    """The published manifest and targets, and what calls have shown of each target.
+
+    ``place`` is where this node is, which decides how far each target is.
+    """
 
+    place: NodePlace
     manifest: Manifest | None
     routes: RouteIndex
     split_positions: dict[str, int]
     targets: dict[str, TargetEntry]
-    by_service: dict[str, tuple[TargetEntry, ...]]
+    by_service: dict[str, dict[Distance, tuple[DistantTarget, ...]]]
     lapses: dict[str, Lapse]
     revision: int
     store_back_at: float
     views: dict[str, TargetView]
 
 
-class NodePlace(NamedTuple):
-    """Where this node is: its address, failure domain, region and the service of its target."""
-
-    name: str
-    host: str
-    failure_domain: str
-    region: str
-    service: str
-    target_port: int
-
-
 class Candidate(NamedTuple):
-    """A target that may take a call, and what a call to it would cost from here."""
+    """A target that may take a call, and when its answer is expected."""
 
     entry: TargetEntry
     distance: Distance
     is_own: bool
     expected_s: float
-    wait_s: float
 
 
 class SendToOwnTarget(NamedTuple):
--- a/src/jacinthsail/internal/model/lineage.py
+++ b/src/jacinthsail/internal/model/lineage.py
@@ -4,11 +4,12 @@
 
 
 class RunningParent(NamedTuple):
-    """A request at the own target: its deadline in monotonic seconds, and its rank."""
+    """A request at the own target: its deadline in monotonic seconds, its rank and its id."""
 
     deadline: float
     ticket: int
     rank: int
+    request_id: str
 
 
 class LineageState(TypedDict):
--- a/src/jacinthsail/internal/queries/backlog.py
+++ b/src/jacinthsail/internal/queries/backlog.py
@@ -33,6 +33,11 @@
 LOWERING_INTERVAL_S = 0.1
 LOWERING_FACTOR = 0.93
 
+# Some requests take long at any load, so the limit is lowered only when more answers than this are
+# late, and raised while fewer are.
+LATE_SHARE_TO_LOWER = 0.35
+LATE_SHARE_TO_RAISE = 0.25
+
 # Slots that new requests keep in any case, so that the limit notices when the target recovers.
 MIN_NEW_SHARE = 0.1
 
@@ -46,6 +51,7 @@
         limit=float(slots),
         lowered_at=float("-inf"),
         mean_s=INITIAL_MEAN_S,
+        late_share=0.0,
     )
 
 
@@ -141,11 +147,16 @@
     The time includes the calls that the target makes, so the limit also falls when a service behind
     the target is the bottleneck: then the work waits here, where nothing has run yet.
     """
-    if is_good:
-        return min(float(backlog["slots"]), lane["limit"] + 1.0 / max(1.0, lane["limit"]))
+    limit = lane["limit"]
+    if is_good and lane["late_share"] <= LATE_SHARE_TO_RAISE:
+        return min(float(backlog["slots"]), limit + 1.0 / max(1.0, limit))
+    if is_good or lane["late_share"] < LATE_SHARE_TO_LOWER:
+        return limit
     if now - lane["lowered_at"] < LOWERING_INTERVAL_S:
-        return lane["limit"]
-    return max(1.0, MIN_NEW_SHARE * backlog["slots"], lane["limit"] * LOWERING_FACTOR)
+        return limit
+    # Slots that are free say nothing of a lower limit, so it starts from those in use.
+    used = min(limit, float(lane["in_flight"]) + 1.0)
+    return min(limit, max(1.0, MIN_NEW_SHARE * backlog["slots"], used * LOWERING_FACTOR))
 
 
 def is_good_time(forward: Forward, duration_s: float) -> bool:
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from jacinthsail.internal.model.fleet import (
+    DistantTarget,
     FleetState,
     LoadReport,
     NodePlace,
@@ -10,11 +11,23 @@
     TargetView,
 )
 from jacinthsail.internal.model.manifest import Manifest
+from jacinthsail.internal.model.membership import Distance
 
 # A target whose call failed is avoided this long, doubling with each failure in a row.
 FIRST_SUSPICION_S = 0.5
 LONGEST_SUSPICION_S = 4.0
 
+# Weight of one more outcome in the share of failing calls, and the time in which the share halves
+# without one, so that a target that has recovered is tried again.
+FAILING_WEIGHT = 0.08
+FAILING_HALF_LIFE_S = 2.0
+
+# A node that stops is away for at least this long; one that has started again says so itself.
+DRAINING_PERIOD_S = 3.0
+
+# Smaller shares change no choice.
+FAILING_IGNORED = 0.01
+
 # The platform says that entries which lapsed while its store was away are back within about 2 s.
 LAPSE_GRACE_S = 2.0
 
@@ -22,9 +35,10 @@
 RETURN_PERIOD_S = 2.0
 
 
-def new_fleet() -> FleetState:
+def new_fleet(place: NodePlace) -> FleetState:
     """Return the knowledge of a node that has read nothing yet."""
     return FleetState(
+        place=place,
         manifest=None,
         routes={},
         split_positions={},
@@ -45,16 +59,45 @@
         in_flight=0,
         failures=0,
         suspected_until=0.0,
-        draining=False,
+        failing=0.0,
+        failing_at=0.0,
+        draining_until=0.0,
     )
 
 
-def by_service(targets: Mapping[str, TargetEntry]) -> dict[str, tuple[TargetEntry, ...]]:
-    """Return the targets of each service."""
-    grouped: dict[str, list[TargetEntry]] = {}
+def by_service(
+    targets: Mapping[str, TargetEntry], place: NodePlace
+) -> dict[str, dict[Distance, tuple[DistantTarget, ...]]]:
+    """Return the targets of each service by their distance."""
+    grouped: dict[str, dict[Distance, tuple[DistantTarget, ...]]] = {}
     for entry in targets.values():
-        grouped.setdefault(entry.service, []).append(entry)
-    return {service: tuple(entries) for service, entries in grouped.items()}
+        distance = distance_to(entry, place)
+        groups = grouped.setdefault(entry.service, {})
+        groups[distance] = (*groups.get(distance, ()), DistantTarget(entry, distance))
+    return grouped
+
+
+def distance_to(entry: TargetEntry, place: NodePlace) -> Distance:
+    """Return how far a target is from a node."""
+    if entry.failure_domain == place.failure_domain:
+        return Distance.OWN_DOMAIN
+    if entry.region == place.region:
+        return Distance.OWN_REGION
+    return Distance.OTHER_REGION
+
+
+def failing_share(view: TargetView, now: float) -> float:
+    """Return the share of calls that a target fails, which fades while nothing is sent there."""
+    if not view["failing"]:
+        return 0.0
+    return float(view["failing"] * 0.5 ** ((now - view["failing_at"]) / FAILING_HALF_LIFE_S))
+
+
+def failing_after(view: TargetView, failed: bool, now: float) -> float:
+    """Return the share of failing calls after one more outcome."""
+    share = failing_share(view, now)
+    after = share + FAILING_WEIGHT * ((1.0 if failed else 0.0) - share)
+    return after if after > FAILING_IGNORED else 0.0
 
 
 def suspicion_s(failures: int) -> float:
@@ -62,6 +105,11 @@
     return min(LONGEST_SUSPICION_S, FIRST_SUSPICION_S * 2.0 ** min(failures - 1, 8))
 
 
+def targets_on(fleet: FleetState, host: str) -> tuple[str, ...]:
+    """Return the targets on the VM with an address."""
+    return tuple(one.incarnation for one in fleet["targets"].values() if one.host == host)
+
+
 def own_target(fleet: FleetState, place: NodePlace) -> TargetEntry | None:
     """Return the newest entry at the address of this node's target.
 
@@ -76,6 +124,12 @@
     return found
 
 
+def manifest_version(fleet: FleetState) -> int:
+    """Return the version of the manifest in force, or 0 before the first one."""
+    manifest = fleet["manifest"]
+    return 0 if manifest is None else manifest.version
+
+
 def is_newer_manifest(fleet: FleetState, manifest: Manifest) -> bool:
     """Tell whether a manifest replaces the one in force; versions never go back."""
     return fleet["manifest"] is None or manifest.version > fleet["manifest"].version
--- a/src/jacinthsail/internal/queries/lineage.py
+++ b/src/jacinthsail/internal/queries/lineage.py
@@ -54,9 +54,8 @@
     return nearest
 
 
-def rank_on_arrival(lineage: LineageState, priority: int, deadline: float) -> int:
+def rank_on_arrival(parent: RunningParent | None, priority: int) -> int:
     """Return the rank of a request that arrives from this VM."""
-    parent = parent_of(lineage, deadline)
     if parent is None:
         return rank_of_new(priority)
     return rank_of_nested(parent.rank)
--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -19,6 +19,9 @@
 
 HOST = "127.0.0.1"
 
+# Nothing listens on this address; it only keeps ports apart.
+RESERVATION_HOST = "127.0.0.2"
+
 # Targets have an address of their own, by which their nodes tell their calls from those of callers.
 TARGET_HOST = "127.0.0.2"
 START_TIMEOUT_S = 20.0
@@ -88,14 +91,37 @@
     return f"{vm}/{role}"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return different ports of 127.0.0.1 that are free now."""
+class ReservedPorts(NamedTuple):
+    """Ports that no other mesh takes while the sockets are open."""
+
+    ports: tuple[int, ...]
+    sockets: tuple[socket.socket, ...]
+
+    def release(self) -> None:
+        """Let other meshes take the ports."""
+        for held in self.sockets:
+            held.close()
+
+
+def reserve_ports(count: int) -> ReservedPorts:
+    """Return different free ports of 127.0.0.1, reserved against meshes of other processes.
+
+    A port is reserved by binding it on a second loopback address, which leaves it free on the first
+    one until the process that is to listen there has started.
+    """
     ports: list[int] = []
+    sockets: list[socket.socket] = []
     while len(ports) < count:
         port = free_port()
-        if port not in ports:
-            ports.append(port)
-    return ports
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        ports.append(port)
+        sockets.append(reservation)
+    return ReservedPorts(tuple(ports), tuple(sockets))
 
 
 class Mesh:
@@ -124,7 +150,8 @@
         self.platform_behind_s = platform_behind_s
         self.folder = tempfile.TemporaryDirectory(prefix="jacinthsail-mesh-")
         width = len(Ports._fields)
-        self.platform_port, *ports = free_ports(1 + width * len(vms))
+        self.reserved = reserve_ports(1 + width * len(vms))
+        self.platform_port, *ports = self.reserved.ports
         self.ports = {}
         for number, vm in enumerate(vms):
             self.ports[vm.vm] = Ports(*ports[number * width : (number + 1) * width])
@@ -175,6 +202,7 @@
             process.terminate()
         for process in self.processes.values():
             _end(process)
+        self.reserved.release()
         self.folder.cleanup()
 
     def _start_platform(self) -> None:
--- a/tests/fast/test_tool.py
+++ b/tests/fast/test_tool.py
@@ -103,6 +103,22 @@
         self.assertIn("version 5 rejected: slots is 0", text)
         self.assertIn("n3: no answer", text)
 
+    def test_explain_follows_the_calls_made_for_a_request(self):
+        """The cause of a failed request often lies in a call two services further."""
+        lines = []
+        for time, name, parent, reason in (
+            (1.0, "call-2", "call-1", "queue-full"),
+            (1.1, "call-1", "request", "target-answered"),
+            (1.2, "request", "", "target-answered"),
+            (1.3, "other", "", "target-answered"),
+        ):
+            entry = {"time": time, "decision": "finished", "request_id": name, "reason": reason}
+            lines.append(json.dumps({**entry, "status": 500, "parent": parent}))
+        found = decisions_about("request", [NodeLog("a", tuple(lines))])
+        self.assertEqual([one["request_id"] for one in found], ["call-2", "call-1", "request"])
+        report = explain_report("request", found)
+        self.assertIn("finished call-2, because queue-full (status 500", report.lines[1])
+
     def test_explain_survives_a_log_cut_in_the_middle(self):
         """A log file may end in half a line while the node is writing."""
         line = json.dumps({"request_id": "r1", "time": 2.0, "decision": "route"})
