Ask for a share of the target latency before a call goes further

Change: a call goes to another failure domain or region only if it gains 15 or 60% of its target latency.

--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -22,17 +22,17 @@
 from jacinthsail.internal.queries.backlog import kind_of
 from jacinthsail.internal.queries.fleet_view import failing_share
 
-# Typical round trips plus the cost of the bytes, as time that a caller would wait instead.
-DISTANCE_COST_S = {
+# What a call must gain to go further, as a share of the time in which an answer has its full value.
+# Links between failure domains and regions are slow and billed by volume, and a failure that all
+# targets share looks a little better or worse at each of them.
+DISTANCE_COST = {
     Distance.OWN_DOMAIN: 0.0,
-    Distance.OWN_REGION: 0.02,
-    Distance.OTHER_REGION: 0.1,
+    Distance.OWN_REGION: 0.15,
+    Distance.OTHER_REGION: 0.6,
 }
 
 # A target nearby is good enough while its answer is expected within this share of the time in which
-# it has its full value. Links between failure domains and regions are slow and billed by volume, so
-# a call goes further only if it would be late or refused nearby. Several nested calls share the
-# time of one request, so each may use less of it.
+# it has its full value. Several nested calls share the time of one request, so each may use less.
 NEAR_SHARE = {WorkKind.NEW: 0.6, WorkKind.NESTED: 0.3}
 
 # A report older than this says little of the queue, so calls may probe the target again.
@@ -53,7 +53,8 @@
 ) -> TargetChoice:
     """Return where a request goes next."""
     kind = kind_of(exchange["rank"])
-    enough_s = NEAR_SHARE[kind] * exchange["route"].target_latency_s
+    target_latency_s = exchange["route"].target_latency_s
+    enough_s = NEAR_SHARE[kind] * target_latency_s
     best: Candidate | None = None
     suspected: list[Candidate] = []
     groups = fleet["by_service"].get(exchange["service"], {})
@@ -66,11 +67,11 @@
             continue
         if nearest.expected_s <= enough_s:
             return choice_of(nearest)
-        if best is None or cost_of(nearest) < cost_of(best):
+        if best is None or cost_s(nearest, target_latency_s) < cost_s(best, target_latency_s):
             best = nearest
     if best is None:
         # Refusing everything because all targets failed once would outlast the fault.
-        best = min(suspected, key=cost_of, default=None)
+        best = min(suspected, key=lambda one: cost_s(one, target_latency_s), default=None)
     if best is None:
         return NoTarget(Reason.NO_TARGET, RETRY_WITHOUT_TARGET_S)
     return choice_of(best)
@@ -83,9 +84,9 @@
     return SendToNode(candidate.entry)
 
 
-def cost_of(candidate: Candidate) -> float:
+def cost_s(candidate: Candidate, target_latency_s: float) -> float:
     """Return the expected time with what the distance costs beside it."""
-    return candidate.expected_s + DISTANCE_COST_S[candidate.distance]
+    return candidate.expected_s + DISTANCE_COST[candidate.distance] * target_latency_s
 
 
 def soonest(group: list[Candidate], random: Random) -> Candidate | None:
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -134,6 +134,14 @@
         request["tried"].add("tried")
         self.assertIsInstance(self.choose(state, request), NoTarget)
 
+    def test_failures_that_all_targets_share_keep_calls_nearby(self):
+        """While a whole service fails, calls to other regions would cost bytes and gain nothing."""
+        state = fleet(target("near", "10.0.0.2"), target("far", "10.0.2.1", "davao", "mindanao"))
+        for number in range(40):
+            record_target_outcome(state, "near", number % 4 != 0, 0.0)
+            record_target_outcome(state, "far", number % 2 != 0, 0.0)
+        self.assertEqual(self.choose(state).entry.incarnation, "near")
+
     def test_node_that_has_started_again_gets_work(self):
         """A target would stay without work for good after a restart of the node beside it."""
         state = fleet(target("a", "10.0.0.2"), target("b", "10.0.1.1", "baguio"))
