Keep the budget of repeats at the node beside each target

Change: the node beside a target counts all arrivals there, with the calls of repeated runs, offers a request that was turned away again within the budget, important ones first, and refuses further repeats when it is spent; callers' nodes keep no counts.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -20,8 +20,10 @@
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.request_metrics import RequestMetrics
 from jacinthsail.internal.commands.exchange import (
+    record_failed_answer,
     record_failure,
     record_refusal,
+    record_repeat,
     record_send,
     record_target_refusal,
 )
@@ -33,7 +35,6 @@
     record_target_outcome,
     record_target_unreachable,
 )
-from jacinthsail.internal.commands.repeats import record_first, record_repeat
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.exchange import (
     AnswerHere,
@@ -56,7 +57,7 @@
     TargetEntry,
 )
 from jacinthsail.internal.model.lineage import LineageState
-from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.model.repeats import Repeat
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.lineage import parent_of, rank_on_arrival
 from jacinthsail.internal.queries.manifest_routes import decide_entry
@@ -64,7 +65,7 @@
     REFUSED_BY_TARGET,
     REPEATED_STATUSES,
     STATUS_TIMEOUT,
-    give_up_after_not_run,
+    after_not_run,
     is_repeatable,
     next_step,
 )
@@ -98,7 +99,6 @@
     def __init__(
         self,
         fleet: FleetState,
-        repeats: RepeatState,
         lineage: LineageState,
         place: NodePlace,
         dialect: CallerDialect,
@@ -108,7 +108,6 @@
         random: Random,
     ) -> None:
         self.fleet = fleet
-        self.repeats = repeats
         self.lineage = lineage
         self.place = place
         self.dialect = dialect
@@ -143,7 +142,6 @@
             respond(HttpResponse(decision.status, head_lines, b""))
             return None
         advance_split(self.fleet, decision.route)
-        record_first(self.repeats, decision.service, now)
         opened = OpenRequest(self, request, facts, decision, respond, now)
         self.open.add(opened)
         opened.send(now)
@@ -184,6 +182,8 @@
             refusals=0,
             current="",
             unsettled=False,
+            repeat=Repeat.INHERITED if parent is not None and parent.is_repeat else Repeat.NONE,
+            failed_answer=None,
         )
         self.timer = entry.loop.call_at(begin.deadline + DEADLINE_SLACK_S, self.on_deadline)
 
@@ -192,9 +192,7 @@
         entry = self.entry
         choice = choose_target(entry.fleet, entry.place, self.exchange, now, entry.random)
         if isinstance(choice, NoTarget):
-            self.give_up(
-                give_up_after_not_run(choice.reason, self.exchange, choice.retry_after_s), now
-            )
+            _follow(after_not_run(choice.reason, self.exchange, choice.retry_after_s), self, now)
             return
         target = choice.entry
         record_send(self.exchange, target.incarnation)
@@ -217,6 +215,7 @@
             service=exchange["service"],
             incarnation=target.incarnation,
             repeatable=is_repeatable(exchange),
+            repeat=exchange["repeat"],
             rank=exchange["rank"],
             remaining_s=max(0.0, exchange["deadline"] - now),
             patience_s=patience_s(exchange, now),
@@ -234,7 +233,7 @@
         if self.respond is None:
             return
         _record(outcome, self, incarnation, now)
-        _follow(next_step(outcome, self.exchange, self.entry.repeats, now), self, now)
+        _follow(next_step(outcome, self.exchange, now), self, now)
 
     def give_up(self, step: GiveUp, now: float) -> None:
         """Answer the caller without a target."""
@@ -308,6 +307,8 @@
 @_record.register
 def _(outcome: TargetAnswer, opened: OpenRequest, incarnation: str, now: float) -> None:
     failed = outcome.status in REPEATED_STATUSES
+    if failed:
+        record_failed_answer(opened.exchange, outcome)
     record_target_outcome(opened.entry.fleet, incarnation, failed, now)
     record_failure(opened.exchange, may_have_run=True)
 
@@ -362,8 +363,7 @@
         refusals=exchange["refusals"],
         left_ms=round((exchange["deadline"] - now) * 1000),
     )
-    if step.spends:
-        record_repeat(opened.entry.repeats, exchange["service"], now)
+    record_repeat(exchange, step.repeat)
     opened.send(now)
 
 
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -38,14 +38,14 @@
 from jacinthsail.internal.model.fleet_settings import FleetSettings
 from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.messages import Hello
-from jacinthsail.internal.model.repeats import RepeatState
 from jacinthsail.internal.queries.backlog import new_backlog
 from jacinthsail.internal.queries.fleet_view import (
     new_fleet,
-    node_count,
     own_target,
+    target_count,
     targets_on,
 )
+from jacinthsail.internal.queries.repeats import new_repeats
 from jacinthsail.internal.queries.store_reading import new_reading
 
 _LOG = logging.getLogger("jacinthsail.node")
@@ -109,14 +109,12 @@
         self.fleet = new_fleet(settings.place)
         self.reading = new_reading()
         self.backlog = new_backlog(FIRST_SLOTS)
-        budget = settings.budget
-        self.repeats = RepeatState(
-            by_service={}, ratio=budget.ratio, window_s=budget.window_s, extra=0.0
-        )
+        self.repeats = new_repeats()
         self.lineage = LineageState(running=[], next_ticket=1)
         self.own_target = OwnTarget(
             self.backlog,
             self.lineage,
+            self.repeats,
             self.dialects.target,
             settings.target.host,
             settings.target.port,
@@ -134,7 +132,6 @@
         self.metrics = RequestMetrics()
         self.entry = Entry(
             self.fleet,
-            self.repeats,
             self.lineage,
             place,
             self.dialects.callers,
@@ -173,9 +170,8 @@
     def on_published(self) -> None:
         """Apply what is published of the own target, the limits and the size of the fleet."""
         budget = self.settings.budget
-        set_budget(
-            self.repeats, budget.ratio, budget.window_s, budget.extra / node_count(self.fleet)
-        )
+        targets = target_count(self.fleet, self.settings.place.service)
+        set_budget(self.repeats, budget.ratio, budget.window_s, budget.extra / targets)
         own = own_target(self.fleet, self.settings.place)
         if own is not None:
             set_slots(self.backlog, own.slots)
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -51,6 +51,7 @@
   headLines @9 :Data;
   body @10 :Data;
   goodWithinMs @11 :UInt32;
+  repeat @12 :UInt8;
 }
 
 struct ForwardOutcome {
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -19,6 +19,7 @@
     record_start,
 )
 from jacinthsail.internal.commands.lineage import add_parent, remove_parent
+from jacinthsail.internal.commands.repeats import record_arrival
 from jacinthsail.internal.model.backlog import (
     BacklogState,
     Reject,
@@ -29,12 +30,14 @@
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.exchange import Forward, ForwardOutcome, TargetAnswer
 from jacinthsail.internal.model.lineage import LineageState, RunningParent
+from jacinthsail.internal.model.repeats import Repeat, RepeatState
 from jacinthsail.internal.queries.backlog import (
-    decide_backlog,
+    decide_arrival,
     expired_waiting,
     kind_of,
     next_waiting,
 )
+from jacinthsail.internal.queries.repeats import is_within_budget
 
 CONNECT_TIMEOUT_S = 0.5
 
@@ -56,6 +59,14 @@
 
 STATUS_SERVER_ERROR = 500
 
+# Times that one request is offered to the target while it turns requests away, and the pause before
+# each further one, which grows so that a target that is really full has time to empty its queue.
+MAX_OFFERS = 7
+REOFFER_DELAY_S = 0.005
+
+# Calls of such a run are made once more.
+MAY_HAVE_RUN = frozenset({Repeat.RUN, Repeat.INHERITED})
+
 OnOutcome = Callable[[ForwardOutcome], None]
 
 
@@ -84,6 +95,8 @@
         "timer",
         "started_at",
         "parent",
+        "deadline",
+        "offers",
     )
 
     def __init__(self, target: "OwnTarget", forward: Forward, on_outcome: OnOutcome) -> None:
@@ -95,6 +108,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.started_at = 0.0
         self.parent: RunningParent | None = None
+        self.deadline = 0.0
+        self.offers = 0
 
     def cancel(self) -> None:
         """Drop a request that waits; stop one that runs if it may be run again."""
@@ -109,12 +124,14 @@
         self,
         backlog: BacklogState,
         lineage: LineageState,
+        repeats: RepeatState,
         dialect: TargetDialect,
         host: str,
         port: int,
     ) -> None:
         self.backlog = backlog
         self.lineage = lineage
+        self.repeats = repeats
         self.dialect = dialect
         self.host = host
         self.port = port
@@ -130,7 +147,7 @@
         """Run a request now or later, or reject it; the callback gets its outcome once."""
         now = self.loop.time()
         running = RunningForward(self, forward, on_outcome)
-        decision = decide_backlog(self.backlog, forward, now)
+        decision = decide_arrival(self.backlog, self.repeats, forward, now)
         if isinstance(decision, Reject):
             self._log("rejected", running, decision.reason, now)
             self._settle(running, NotRun(decision.reason, 0, decision.retry_after_s))
@@ -196,16 +213,25 @@
             self.lineage["next_ticket"],
             running.forward.rank,
             running.forward.request_id,
+            running.forward.repeat in MAY_HAVE_RUN,
         )
         add_parent(self.lineage, running.parent)
         running.timer = self.loop.call_at(
             deadline + DEADLINE_SLACK_S, self._end, running, Unknown(Reason.DEADLINE_EXPIRED, 0)
         )
-        connection = self._idle_connection(running.forward, now)
+        running.deadline = deadline
+        record_arrival(self.repeats, running.forward.repeat, now)
+        self._offer(running)
+
+    def _offer(self, running: RunningForward) -> None:
+        if running.timer is None:
+            return
+        running.offers += 1
+        connection = self._idle_connection(running.forward, self.loop.time())
         if connection is not None:
-            self._send(running, connection, deadline)
+            self._send(running, connection, running.deadline)
             return
-        task = self.loop.create_task(self._connect(running, deadline))
+        task = self.loop.create_task(self._connect(running, running.deadline))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -265,12 +291,30 @@
                 self._end(running, NotRun(Reason.TARGET_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
             return
         outcome = self.dialect.decode(result)
+        if isinstance(outcome, NotRun) and self._offers_again(running, outcome):
+            return
         if isinstance(outcome, TargetAnswer) and outcome.status < STATUS_SERVER_ERROR:
             # A target that fails at once must not look fast.
             now = self.loop.time()
             record_duration(self.backlog, running.forward, now - running.started_at, now)
         self._end(running, outcome)
 
+    def _offers_again(self, running: RunningForward, outcome: NotRun) -> bool:
+        """Offer a request once more that the target turned away, if there is time and budget."""
+        now = self.loop.time()
+        forward = running.forward
+        delay_s = REOFFER_DELAY_S * running.offers
+        if outcome.reason is not Reason.TARGET_REFUSED or running.on_outcome is None:
+            return False
+        if running.offers >= MAX_OFFERS or now + delay_s >= running.deadline:
+            return False
+        if not is_within_budget(self.repeats, Repeat.OFFER, forward.rank, now):
+            return False
+        record_arrival(self.repeats, Repeat.OFFER, now)
+        running.connection = None
+        self.loop.call_later(delay_s, self._offer, running)
+        return True
+
     def _end(self, running: RunningForward, outcome: ForwardOutcome) -> None:
         if running.timer is None:
             return
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -40,6 +40,7 @@
     Ping,
     Pong,
 )
+from jacinthsail.internal.model.repeats import Repeat
 from jacinthsail.internal.model.replication import Item, ItemVersion
 
 capnp.remove_import_hook()
@@ -50,6 +51,9 @@
 # An item holds at most 1 MB, the body of a forwarded request at most 16 MB; the rest is for heads.
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 
+# A kind of repeat travels as its place in this list.
+_REPEATS = tuple(Repeat)
+
 # Times and counts travel in 32 bits.
 MAX_UINT32 = 2**32 - 1
 
@@ -70,7 +74,7 @@
     try:
         with _schema.Message.from_bytes(payload) as reader:
             return Success(_DECODERS[reader.which()](reader))
-    except (capnp.KjException, KeyError, ValueError, zlib.error) as error:
+    except (capnp.KjException, LookupError, ValueError, zlib.error) as error:
         return Failure(MalformedMessage(source, str(error).partition("\n")[0]))
 
 
@@ -172,6 +176,7 @@
         forward.service,
         forward.incarnation,
         forward.repeatable,
+        repeat,
         forward.rank,
         remaining_s,
         patience_s,
@@ -179,6 +184,7 @@
         forward.headLines,
         forward.body,
     ) = message.forward
+    forward.repeat = _REPEATS.index(repeat)
     forward.remainingMs = milliseconds(remaining_s)
     forward.patienceMs = milliseconds(patience_s)
     forward.goodWithinMs = milliseconds(good_within_s)
@@ -340,6 +346,7 @@
             forward.service,
             forward.incarnation,
             forward.repeatable,
+            _REPEATS[forward.repeat],
             forward.rank,
             forward.remainingMs / 1000,
             forward.patienceMs / 1000,
--- a/src/jacinthsail/internal/commands/exchange.py
+++ b/src/jacinthsail/internal/commands/exchange.py
@@ -1,6 +1,7 @@
 """Changes to a request at the node where it arrived."""
 
-from jacinthsail.internal.model.exchange import Exchange
+from jacinthsail.internal.model.exchange import Exchange, TargetAnswer
+from jacinthsail.internal.model.repeats import Repeat
 
 
 def record_send(exchange: Exchange, incarnation: str) -> None:
@@ -8,6 +9,16 @@
     exchange["current"] = incarnation
 
 
+def record_failed_answer(exchange: Exchange, answer: TargetAnswer) -> None:
+    """Keep the answer of a target that failed, for when no other target can be asked."""
+    exchange["failed_answer"] = answer
+
+
+def record_repeat(exchange: Exchange, repeat: Repeat) -> None:
+    """Remember what the next arrival of the request counts as."""
+    exchange["repeat"] = repeat
+
+
 def record_refusal(exchange: Exchange) -> None:
     """Remember a target whose node did not take the request."""
     exchange["tried"].add(exchange["current"])
--- a/src/jacinthsail/internal/model/exchange.py
+++ b/src/jacinthsail/internal/model/exchange.py
@@ -4,6 +4,7 @@
 
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.manifest import RoutePolicy
+from jacinthsail.internal.model.repeats import Repeat
 
 
 class Forward(NamedTuple):
@@ -20,6 +21,7 @@
     service: str
     incarnation: str
     repeatable: bool
+    repeat: Repeat
     rank: int
     remaining_s: float
     patience_s: float
@@ -58,7 +60,7 @@
     ``tried`` holds the incarnations that are not chosen again, ``offered`` those that were offered
     the request. ``bounces`` counts the times that a target said that it did not run it,
     ``refusals`` the times that a node did. ``unsettled`` is set once a send may have run without an
-    answer.
+    answer that was passed on, ``failed_answer`` holds the answer of a target that failed.
     """
 
     facts: RequestFacts
@@ -74,6 +76,8 @@
     refusals: int
     current: str
     unsettled: bool
+    repeat: Repeat
+    failed_answer: TargetAnswer | None
 
 
 class AnswerHere(NamedTuple):
@@ -102,10 +106,10 @@
 
 
 class SendAgain(NamedTuple):
-    """The request goes to another target; ``spends`` tells whether it counts as a repeat."""
+    """The request is sent once more; ``repeat`` tells what its next arrival counts as."""
 
     reason: Reason
-    spends: bool
+    repeat: Repeat
 
 
 class GiveUp(NamedTuple):
--- a/src/jacinthsail/internal/model/lineage.py
+++ b/src/jacinthsail/internal/model/lineage.py
@@ -4,12 +4,16 @@
 
 
 class RunningParent(NamedTuple):
-    """A request at the own target: its deadline in monotonic seconds, its rank and its id."""
+    """A request at the own target: its deadline in monotonic seconds, its rank and its id.
+
+    ``is_repeat`` tells that it may have run before, so its calls are made once more.
+    """
 
     deadline: float
     ticket: int
     rank: int
     request_id: str
+    is_repeat: bool
 
 
 class LineageState(TypedDict):
--- a/src/jacinthsail/internal/model/repeats.py
+++ b/src/jacinthsail/internal/model/repeats.py
@@ -1,19 +1,30 @@
 """Counts that bound how often requests are sent to a second target."""
 
+from enum import StrEnum
 from typing import TypedDict
 
 
-class RepeatCounts(TypedDict):
-    """First sends and repeats to one service, each in buckets of the budget's window."""
+class Repeat(StrEnum):
+    """Why an arrival at a target is beyond the first one of its request, if it is.
 
-    firsts: dict[int, int]
-    repeats: dict[int, int]
+    ``INHERITED`` arrivals are calls of a run that is itself a repeat. ``OFFER`` and ``RUN``
+    arrivals follow a send that did not run, or may have run.
+    """
+
+    NONE = "none"
+    INHERITED = "inherited"
+    OFFER = "offer"
+    RUN = "run"
 
 
 class RepeatState(TypedDict):
-    """What this node has sent, by service, and the terms of the budget that all nodes share."""
+    """Arrivals at the own target in buckets of the budget's window, and the terms of the budget.
 
-    by_service: dict[str, RepeatCounts]
+    ``extra`` is this target's share of the fixed part.
+    """
+
+    firsts: dict[int, int]
+    repeats: dict[int, int]
     ratio: float
     window_s: float
     extra: float
--- a/src/jacinthsail/internal/queries/backlog.py
+++ b/src/jacinthsail/internal/queries/backlog.py
@@ -13,7 +13,9 @@
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.exchange import Forward
 from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.model.repeats import RepeatState
 from jacinthsail.internal.queries.lineage import RANKS_PER_PRIORITY
+from jacinthsail.internal.queries.repeats import is_within_budget
 
 # Assumed until the target has answered once.
 INITIAL_MEAN_S = 0.05
@@ -73,6 +75,15 @@
     return WorkKind.NEW if rank % RANKS_PER_PRIORITY else WorkKind.NESTED
 
 
+def decide_arrival(
+    backlog: BacklogState, repeats: RepeatState, forward: Forward, now: float
+) -> BacklogDecision:
+    """Return what becomes of a request that arrives, within the budget of repeats."""
+    if not is_within_budget(repeats, forward.repeat, forward.rank, now):
+        return Reject(Reason.RETRIES_SPENT, MIN_RETRY_AFTER_S)
+    return decide_backlog(backlog, forward, now)
+
+
 def decide_backlog(backlog: BacklogState, forward: Forward, now: float) -> BacklogDecision:
     """Return whether a request starts, waits or is rejected.
 
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -151,6 +151,7 @@
     return tuple(name for name in fleet["targets"] if name not in names)
 
 
-def node_count(fleet: FleetState) -> int:
-    """Return how many nodes there are, one beside each target."""
-    return max(1, len(fleet["targets"]))
+def target_count(fleet: FleetState, service: str) -> int:
+    """Return how many targets a service has, 1 if none is known."""
+    groups = fleet["by_service"].get(service, {})
+    return max(1, sum(len(group) for group in groups.values()))
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -12,12 +12,7 @@
     SendAgain,
     TargetAnswer,
 )
-from jacinthsail.internal.model.repeats import RepeatState
-from jacinthsail.internal.queries.repeats import (
-    REPEATED_OFFER_SHARE,
-    REPEATED_RUN_SHARE,
-    may_repeat,
-)
+from jacinthsail.internal.model.repeats import Repeat
 
 STATUS_BAD_GATEWAY = 502
 STATUS_NOT_RUN = 503
@@ -32,52 +27,55 @@
 # Nodes that may refuse one request before its caller is told; each costs a round trip.
 MAX_REFUSALS = 3
 
-# Times that targets may turn one request away before its caller is told.
-MAX_BOUNCES = 6
+# Targets that may turn one request away before its caller is told.
+MAX_BOUNCES = 1
 
 # The target itself was offered the request and said that it did not run it.
 REFUSED_BY_TARGET = frozenset({Reason.TARGET_REFUSED, Reason.TARGET_MISDIRECTED})
 
 
 @singledispatch
-def next_step(outcome: object, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
+def next_step(outcome: object, exchange: Exchange, now: float) -> NextStep:
     """Return what follows an outcome."""
     raise NotImplementedError(f"no next step after {type(outcome).__name__}; register one")
 
 
 @next_step.register
-def _(outcome: TargetAnswer, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
-    if outcome.status not in REPEATED_STATUSES:
-        return Deliver(outcome)
-    if is_repeatable(exchange) and can_run_again(exchange, repeats, now):
-        return SendAgain(Reason.TARGET_ANSWERED, spends=True)
+def _(outcome: TargetAnswer, exchange: Exchange, now: float) -> NextStep:
+    if outcome.status in REPEATED_STATUSES and can_run_again(exchange, now):
+        return SendAgain(Reason.TARGET_ANSWERED, Repeat.RUN)
     return Deliver(outcome)
 
 
 @next_step.register
-def _(outcome: NotRun, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
+def _(outcome: NotRun, exchange: Exchange, now: float) -> NextStep:
     if outcome.reason in REFUSED_BY_TARGET:
-        if can_offer_again(exchange, repeats, now):
-            return SendAgain(outcome.reason, spends=True)
-    elif exchange["refusals"] < MAX_REFUSALS and has_time(exchange, now):
-        return SendAgain(outcome.reason, spends=False)
-    return give_up_after_not_run(outcome.reason, exchange, outcome.retry_after_s)
+        if exchange["bounces"] <= MAX_BOUNCES and has_time(exchange, now):
+            return SendAgain(outcome.reason, Repeat.OFFER)
+        return after_not_run(outcome.reason, exchange, outcome.retry_after_s)
+    is_final = outcome.reason is Reason.RETRIES_SPENT or exchange["refusals"] >= MAX_REFUSALS
+    if is_final or not has_time(exchange, now):
+        return after_not_run(outcome.reason, exchange, outcome.retry_after_s)
+    return SendAgain(outcome.reason, exchange["repeat"])
 
 
 @next_step.register
-def _(outcome: Unknown, exchange: Exchange, repeats: RepeatState, now: float) -> NextStep:
-    if is_repeatable(exchange) and can_run_again(exchange, repeats, now):
-        return SendAgain(outcome.reason, spends=True)
+def _(outcome: Unknown, exchange: Exchange, now: float) -> NextStep:
+    if can_run_again(exchange, now):
+        return SendAgain(outcome.reason, Repeat.RUN)
     if now >= exchange["deadline"]:
         return GiveUp(STATUS_TIMEOUT, outcome.reason, 0.0)
     return GiveUp(STATUS_BAD_GATEWAY, outcome.reason, 0.0)
 
 
-def give_up_after_not_run(reason: Reason, exchange: Exchange, retry_after_s: float) -> GiveUp:
+def after_not_run(reason: Reason, exchange: Exchange, retry_after_s: float) -> NextStep:
     """Return the final answer when the last target did not run the request.
 
-    An earlier send of a repeatable request may have run, and then nothing is promised.
+    An earlier send of a repeatable request may have run. If it brought an answer, the caller gets
+    that one; otherwise nothing is promised.
     """
+    if exchange["failed_answer"] is not None:
+        return Deliver(exchange["failed_answer"])
     if exchange["unsettled"]:
         return GiveUp(STATUS_BAD_GATEWAY, reason, 0.0)
     return GiveUp(STATUS_NOT_RUN, reason, retry_after_s)
@@ -94,15 +92,8 @@
     return exchange["deadline"] - now > needed_s
 
 
-def can_run_again(exchange: Exchange, repeats: RepeatState, now: float) -> bool:
-    """Tell whether the request may run at one more target."""
-    if len(exchange["offered"]) >= exchange["route"].max_attempts or not has_time(exchange, now):
-        return False
-    return may_repeat(repeats, exchange["service"], exchange["rank"], REPEATED_RUN_SHARE, now)
-
-
-def can_offer_again(exchange: Exchange, repeats: RepeatState, now: float) -> bool:
-    """Tell whether a request that did not run may be offered once more, to any target it knows."""
-    if exchange["bounces"] > MAX_BOUNCES or not has_time(exchange, now):
+def can_run_again(exchange: Exchange, now: float) -> bool:
+    """Tell whether a request that may have run may be sent to one more target."""
+    if not is_repeatable(exchange) or not has_time(exchange, now):
         return False
-    return may_repeat(repeats, exchange["service"], exchange["rank"], REPEATED_OFFER_SHARE, now)
+    return len(exchange["offered"]) < exchange["route"].max_attempts
--- a/src/jacinthsail/internal/queries/repeats.py
+++ b/src/jacinthsail/internal/queries/repeats.py
@@ -1,25 +1,35 @@
 """Bounds repeats so that the sum over all nodes stays within the shared budget.
 
-Nodes share no counters. Each spends a part of what its own first sends allow, and its share of the
-fixed part, so that the sum over all nodes keeps the bound without any message.
+Nodes share no counters. All arrivals at a target pass the node beside it, so each of these nodes
+counts the arrivals at its target and keeps its part of the budget. The sum over the targets of a
+service then keeps the bound without any message, and the callers of a target share its part by
+rank.
 """
 
-from jacinthsail.internal.model.repeats import RepeatCounts, RepeatState
+from jacinthsail.internal.model.repeats import Repeat, RepeatState
 from jacinthsail.internal.queries.lineage import priority_of_rank
 
 BUCKETS_PER_WINDOW = 10
 
-# Shares of the budget that this node's own counts may use. A request that runs again makes its
-# calls again, which count as repeats of the services behind, so its share is the smaller one.
-REPEATED_RUN_SHARE = 0.25
-REPEATED_OFFER_SHARE = 0.4
+# The bound holds for any two windows that slide over the buckets, and requests move between the
+# targets of a service meanwhile, so a part of the budget stays free.
+USED_SHARE = 0.8
 
-# A node with few requests may still repeat one in each window.
+# A request that runs again makes its calls again, which count as repeats of the services behind, so
+# such repeats may use only this part.
+RUN_SHARE = 0.3
+
+# Part that requests of each priority may use; the last one holds for all others. While there are
+# more failures than the budget can mend, it is spent where it matters most.
+SHARE_OF_PRIORITY = (1.0, 1.0, 0.25)
+
+# A target with few requests may still get a repeat in each window.
 MIN_REPEATS = 1.0
 
-# Part of a share that requests of each priority may use; the last one holds for all others. While
-# there are more failures than the budget can mend, it is spent where it matters most.
-SHARE_OF_PRIORITY = (1.0, 0.75, 0.4)
+
+def new_repeats() -> RepeatState:
+    """Return the counts of a node that has just started; its budget is set when it is known."""
+    return RepeatState(firsts={}, repeats={}, ratio=0.0, window_s=10.0, extra=0.0)
 
 
 def bucket_of(repeats: RepeatState, now: float) -> int:
@@ -27,30 +37,42 @@
     return int(now * BUCKETS_PER_WINDOW / repeats["window_s"])
 
 
-def may_repeat(repeats: RepeatState, service: str, rank: int, share: float, now: float) -> bool:
-    """Tell whether one more repeat to a service fits the budget."""
-    counts = repeats["by_service"].get(service)
-    if counts is None:
-        return False
-    oldest = bucket_of(repeats, now) - BUCKETS_PER_WINDOW
-    allowed = repeats["ratio"] * recent(counts["firsts"], oldest) + repeats["extra"]
+def is_within_budget(repeats: RepeatState, kind: Repeat, rank: int, now: float) -> bool:
+    """Tell whether one more arrival fits the budget; only new repeats are ever refused."""
+    if kind is Repeat.NONE or kind is Repeat.INHERITED:
+        return True
     place = min(priority_of_rank(rank), len(SHARE_OF_PRIORITY) - 1)
-    bound = allowed * share * SHARE_OF_PRIORITY[place]
-    return recent(counts["repeats"], oldest) + 1 <= max(MIN_REPEATS, bound)
+    share = USED_SHARE * SHARE_OF_PRIORITY[place]
+    if kind is Repeat.RUN:
+        share *= RUN_SHARE
+    newest = bucket_of(repeats, now)
+    sent = between(repeats["repeats"], newest - BUCKETS_PER_WINDOW, newest)
+    return sent + 1 <= max(MIN_REPEATS, share * allowed_repeats(repeats, newest))
+
+
+def allowed_repeats(repeats: RepeatState, newest: int) -> float:
+    """Return the repeats that the budget allows in the window that ends with a bucket.
+
+    Requests are counted in that window, in the one before it or half a window before it, whichever
+    has the most, so that repeats need not stop while a failing service gets fewer requests.
+    """
+    most = 0
+    for shift in (0, BUCKETS_PER_WINDOW // 2, BUCKETS_PER_WINDOW):
+        end = newest - shift
+        most = max(most, between(repeats["firsts"], end - BUCKETS_PER_WINDOW + 1, end))
+    return repeats["ratio"] * most + repeats["extra"]
 
 
-def recent(counts: dict[int, int], oldest: int) -> int:
-    """Return the sum of the buckets that are not older than ``oldest``."""
+def between(counts: dict[int, int], first: int, last: int) -> int:
+    """Return the sum of the buckets from ``first`` to ``last``."""
     total = 0
     for bucket, count in counts.items():
-        if bucket < oldest:
-            continue
-        total += count
+        if first <= bucket <= last:
+            total += count
     return total
 
 
-def outdated_buckets(counts: RepeatCounts, oldest: int) -> tuple[int, ...]:
+def outdated_buckets(counts: dict[int, int], newest: int) -> tuple[int, ...]:
     """Return the buckets that no window reaches any more."""
-    old = [bucket for bucket in counts["firsts"] if bucket < oldest]
-    old += [bucket for bucket in counts["repeats"] if bucket < oldest]
-    return tuple(old)
+    oldest = newest - 2 * BUCKETS_PER_WINDOW - 1
+    return tuple(bucket for bucket in counts if bucket < oldest)
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -1,6 +1,7 @@
 """Targets, routes and requests for tests of the platform front end."""
 
 from jacinthsail.internal.commands.fleet import install_manifest, put_target
+from jacinthsail.internal.commands.repeats import set_budget
 from jacinthsail.internal.model.document import Execution
 from jacinthsail.internal.model.exchange import Exchange, Forward, RequestFacts
 from jacinthsail.internal.model.fleet import NodePlace, TargetEntry
@@ -11,9 +12,10 @@
     RoutePolicy,
     ServiceTerms,
 )
-from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.model.repeats import Repeat
 from jacinthsail.internal.queries.backlog import new_backlog
 from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.repeats import new_repeats
 
 PLACE = NodePlace("node-1", "10.0.0.1", "manila", "luzon", "drafts", 8000)
 LIMITS = ClientLimits(16384, 1 << 20, 3.0, 15.0)
@@ -93,10 +95,14 @@
         refusals=0,
         current="",
         unsettled=False,
+        repeat=Repeat.NONE,
+        failed_answer=None,
     )
 
 
-def forward(rank=1, patience_s=1.0, request_id="r-1", repeatable=True, remaining_s=2.0):
+def forward(
+    rank=1, patience_s=1.0, request_id="r-1", repeatable=True, remaining_s=2.0, repeat=Repeat.NONE
+):
     return Forward(
         request_id=request_id,
         method="GET",
@@ -104,6 +110,7 @@
         service="seals",
         incarnation="i-1",
         repeatable=repeatable,
+        repeat=repeat,
         rank=rank,
         remaining_s=remaining_s,
         patience_s=patience_s,
@@ -121,4 +128,6 @@
 
 
 def repeats(ratio=0.2, window_s=10.0, extra=5.0):
-    return RepeatState(by_service={}, ratio=ratio, window_s=window_s, extra=extra)
+    state = new_repeats()
+    set_budget(state, ratio, window_s, extra)
+    return state
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -17,7 +17,6 @@
     record_target_outcome,
     record_target_unreachable,
 )
-from jacinthsail.internal.commands.repeats import record_first, record_repeat
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.document import Execution
 from jacinthsail.internal.model.exchange import (
@@ -29,12 +28,12 @@
     TargetAnswer,
 )
 from jacinthsail.internal.model.fleet import LoadReport, NoTarget, SendToNode, SendToOwnTarget
+from jacinthsail.internal.model.repeats import Repeat
 from jacinthsail.internal.queries.fleet_view import new_fleet
 from jacinthsail.internal.queries.manifest_routes import decide_entry, route_of
 from jacinthsail.internal.queries.next_steps import next_step
-from jacinthsail.internal.queries.repeats import may_repeat
 from jacinthsail.internal.queries.target_choice import choose_target
-from tests.common.fleets import PLACE, exchange, facts, fleet, repeats, route, target
+from tests.common.fleets import PLACE, exchange, facts, fleet, route, target
 
 STEADY = settings(derandomize=True, deadline=None, max_examples=100)
 
@@ -42,12 +41,6 @@
 FAILED = TargetAnswer(500, b"", b"")
 
 
-def with_budget():
-    counts = repeats(extra=50.0)
-    record_first(counts, "seals", 0.0)
-    return counts
-
-
 class RoutesTest(unittest.TestCase):
     def test_longest_prefix_wins(self):
         """A request on a nested prefix would run at the wrong service."""
@@ -173,81 +166,53 @@
 class NextStepsTest(unittest.TestCase):
     def test_success_is_delivered(self):
         """An answer that is ready must reach its caller."""
-        self.assertEqual(next_step(OK, exchange(), with_budget(), 9.0), Deliver(OK))
+        self.assertEqual(next_step(OK, exchange(), 9.0), Deliver(OK))
 
     def test_failed_repeatable_request_is_sent_again(self):
         """One failing target in a hundred would fail one caller in a hundred."""
-        step = next_step(FAILED, exchange(), with_budget(), 0.1)
-        self.assertEqual(step, SendAgain(Reason.TARGET_ANSWERED, spends=True))
+        step = next_step(FAILED, exchange(), 0.1)
+        self.assertEqual(step, SendAgain(Reason.TARGET_ANSWERED, Repeat.RUN))
 
     def test_at_most_once_request_is_never_sent_again_after_it_may_have_run(self):
         """A filing or a charge would run twice."""
         request = exchange(route(execution=Execution.AT_MOST_ONCE))
-        self.assertEqual(next_step(FAILED, request, with_budget(), 0.1), Deliver(FAILED))
+        self.assertEqual(next_step(FAILED, request, 0.1), Deliver(FAILED))
         for reason in (Reason.CONNECTION_LOST, Reason.INCOMPLETE_ANSWER):
-            step = next_step(Unknown(reason, 0), request, with_budget(), 0.1)
+            step = next_step(Unknown(reason, 0), request, 0.1)
             self.assertEqual((type(step), step.status), (GiveUp, 502))
 
     def test_at_most_once_request_goes_on_after_a_true_not_run(self):
         """A filing would be refused although another target is free."""
         request = exchange(route(execution=Execution.AT_MOST_ONCE))
-        step = next_step(NotRun(Reason.TARGET_REFUSED, 0), request, with_budget(), 0.1)
-        self.assertEqual(step, SendAgain(Reason.TARGET_REFUSED, spends=True))
-        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, with_budget(), 0.1)
-        self.assertEqual(step, SendAgain(Reason.QUEUE_FULL, spends=False))
+        step = next_step(NotRun(Reason.TARGET_REFUSED, 0), request, 0.1)
+        self.assertEqual(step, SendAgain(Reason.TARGET_REFUSED, Repeat.OFFER))
+        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, 0.1)
+        self.assertEqual(step, SendAgain(Reason.QUEUE_FULL, Repeat.NONE))
 
     def test_not_run_is_promised_only_when_no_send_may_have_run(self):
         """A 503 after a lost answer would tell the caller that its request never ran."""
         request = exchange()
         request["refusals"] = 9
-        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, with_budget(), 0.1)
-        self.assertEqual(step, GiveUp(503, Reason.QUEUE_FULL, 0.2))
+        refused = NotRun(Reason.QUEUE_FULL, 0, 0.2)
+        self.assertEqual(next_step(refused, request, 0.1), GiveUp(503, Reason.QUEUE_FULL, 0.2))
+        request["unsettled"] = True
+        self.assertEqual(next_step(refused, request, 0.1).status, 502)
+
+    def test_spent_budget_ends_the_repeats_with_the_answer_there_is(self):
+        """A caller would lose the target's own failure, or more nodes would be asked in vain."""
+        request = exchange()
+        spent = NotRun(Reason.RETRIES_SPENT, 0, 0.2)
+        self.assertEqual(next_step(spent, request, 0.1), GiveUp(503, Reason.RETRIES_SPENT, 0.2))
         request["unsettled"] = True
-        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, with_budget(), 0.1)
-        self.assertEqual(step.status, 502)
+        request["failed_answer"] = FAILED
+        self.assertEqual(next_step(spent, request, 0.1), Deliver(FAILED))
 
     def test_attempts_are_bounded(self):
         """A request must not reach more targets than its route allows."""
         request = exchange()
         request["offered"] |= {"a", "b"}
-        self.assertEqual(next_step(FAILED, request, with_budget(), 0.1), Deliver(FAILED))
-
-    def test_the_last_repeats_are_kept_for_important_requests(self):
-        """While a service turns half of its requests away, lookups would use up the repeats."""
-        counts = repeats(extra=10.0)
-        record_first(counts, "seals", 0.0)
-        lookup = exchange(route(priority=2))
-        lookup["rank"] = 5
-        filing = exchange(route(priority=0))
-        filing["rank"] = 0
-        for _ in range(2):
-            record_repeat(counts, "seals", 0.1)
-        turned_away = NotRun(Reason.TARGET_REFUSED, 0)
-        self.assertIsInstance(next_step(turned_away, lookup, counts, 0.1), GiveUp)
-        self.assertIsInstance(next_step(turned_away, filing, counts, 0.1), SendAgain)
+        self.assertEqual(next_step(FAILED, request, 0.1), Deliver(FAILED))
 
     def test_nothing_is_sent_again_without_time(self):
         """A repeat that cannot finish in time is wasted work."""
-        self.assertEqual(next_step(FAILED, exchange(), with_budget(), 1.97), Deliver(FAILED))
-
-
-class RepeatBudgetTest(unittest.TestCase):
-    @STEADY
-    @given(st.lists(st.tuples(st.floats(0.0, 0.2), st.booleans()), max_size=400))
-    def test_repeats_stay_within_the_share_of_every_window(self, events):
-        """Repeats during a slowdown would multiply the load that caused it."""
-        counts = repeats(extra=4.0)
-        now = 0.0
-        firsts = []
-        again = []
-        for gap_s, wants_repeat in events:
-            now += gap_s
-            record_first(counts, "seals", now)
-            firsts.append(now)
-            if wants_repeat and may_repeat(counts, "seals", 0, 1.0, now):
-                record_repeat(counts, "seals", now)
-                again.append(now)
-        for end in again:
-            in_window = sum(1 for at in again if end - 10.0 < at <= end)
-            sent = sum(1 for at in firsts if end - 20.0 < at <= end)
-            self.assertLessEqual(in_window, 0.2 * sent + 4.0)
+        self.assertEqual(next_step(FAILED, exchange(), 1.97), Deliver(FAILED))
--- a/tests/fast/test_lineage.py
+++ b/tests/fast/test_lineage.py
@@ -15,7 +15,7 @@
 def lineage(*parents):
     state = LineageState(running=[], next_ticket=1)
     for deadline, rank in parents:
-        add_parent(state, RunningParent(deadline, state["next_ticket"], rank, f"r-{rank}"))
+        add_parent(state, RunningParent(deadline, state["next_ticket"], rank, f"r-{rank}", False))
     return state
 
 
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -4,6 +4,7 @@
 import unittest
 
 from jacinthsail.internal.adapters.http_client import Broken
+from jacinthsail.internal.adapters.http_server import HttpResponse
 from jacinthsail.testing.platform_stand_ins import CallerStandIn, TargetStandIn, header_of
 from tests.common.platform_world import READY_PORT, ROUTE, World, manifest
 
@@ -24,6 +25,21 @@
     respond(target.answer(request, status=500))
 
 
+def shedding(times):
+    """Turn the first requests away as not run."""
+    left = [times]
+
+    def behaviour(target, request, respond):
+        if left[0] == 0:
+            respond(target.answer(request))
+            return
+        left[0] -= 1
+        target.runs.pop()
+        respond(HttpResponse(503, b"X-Not-Executed: 1\r\n", b""))
+
+    return behaviour
+
+
 def unsealed(target, request, respond):
     respond(target.answer(request)._replace(head_lines=b""))
 
@@ -70,6 +86,14 @@
             self.assertEqual((answer.status, answer.body), (200, b"i-3 ran r-1"))
             self.assertEqual(len(world.targets[2].runs), 1)
 
+    async def test_charge_that_was_turned_away_is_offered_again(self):
+        """A target that sheds some requests at random would fail their callers."""
+        async with World() as world:
+            caller = await self.fleet(world, shedding(3))
+            answer = await caller.ask("/charge/x", "r-1", method="POST", body=b"1")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(len(world.targets[2].runs), 1)
+
     async def test_charge_is_never_repeated(self):
         """A charge would be made twice."""
         async with World() as world:
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -21,6 +21,7 @@
     Ping,
     Pong,
 )
+from jacinthsail.internal.model.repeats import Repeat
 from jacinthsail.internal.model.replication import Item, ItemVersion
 from tests.common.checking import call_head
 
@@ -39,7 +40,19 @@
     ForwardRequest(
         9,
         Forward(
-            "id", "GET", b"/a/b", "drafts", "i-1", True, 2, 1.5, 0.25, 0.5, b"A: b\r\n", b"body"
+            "id",
+            "GET",
+            b"/a/b",
+            "drafts",
+            "i-1",
+            True,
+            Repeat.RUN,
+            2,
+            1.5,
+            0.25,
+            0.5,
+            b"A: b\r\n",
+            b"body",
         ),
     ),
     ForwardReply(9, TargetAnswer(200, b"A: b\r\n", b"body"), LoadReport(3, 4, 5, 0.25, 0.5)),
