Weigh the distance of every further target, and spend repeats on offers first

Change: repeated runs may use 12% of the used budget; offers of lookups 10%; only the own failure domain is taken without comparing; failures cost 70% of the target latency.

--- a/src/jacinthsail/internal/queries/repeats.py
+++ b/src/jacinthsail/internal/queries/repeats.py
@@ -11,17 +11,17 @@
 
 BUCKETS_PER_WINDOW = 10
 
-# The bound holds for any two windows that slide over the buckets, and requests move between the
-# targets of a service meanwhile, so a part of the budget stays free.
-USED_SHARE = 0.8
+# Calls of repeated runs are never refused here, and requests move between the targets of a service
+# while windows slide, so a part of the budget stays free for them.
+USED_SHARE = 0.7
 
 # A request that runs again makes its calls again, which count as repeats of the services behind, so
-# such repeats may use only this part.
-RUN_SHARE = 0.3
+# such repeats may use only this part. It covers failures of 2% of the requests.
+RUN_SHARE = 0.12
 
-# Part that requests of each priority may use; the last one holds for all others. While there are
-# more failures than the budget can mend, it is spent where it matters most.
-SHARE_OF_PRIORITY = (1.0, 1.0, 0.25)
+# Part that offers of requests of each priority may use; the last one holds for all others. While
+# more requests are turned away than the budget can mend, it is spent where it matters most.
+OFFER_SHARE_OF_PRIORITY = (1.0, 1.0, 0.1)
 
 # A target with few requests may still get a repeat in each window.
 MIN_REPEATS = 1.0
@@ -41,15 +41,20 @@
     """Tell whether one more arrival fits the budget; only new repeats are ever refused."""
     if kind is Repeat.NONE or kind is Repeat.INHERITED:
         return True
-    place = min(priority_of_rank(rank), len(SHARE_OF_PRIORITY) - 1)
-    share = USED_SHARE * SHARE_OF_PRIORITY[place]
-    if kind is Repeat.RUN:
-        share *= RUN_SHARE
+    share = USED_SHARE * share_of(kind, rank)
     newest = bucket_of(repeats, now)
     sent = between(repeats["repeats"], newest - BUCKETS_PER_WINDOW, newest)
     return sent + 1 <= max(MIN_REPEATS, share * allowed_repeats(repeats, newest))
 
 
+def share_of(kind: Repeat, rank: int) -> float:
+    """Return the part of the used budget that a kind of repeat of a rank may fill."""
+    if kind is Repeat.RUN:
+        return RUN_SHARE
+    place = min(priority_of_rank(rank), len(OFFER_SHARE_OF_PRIORITY) - 1)
+    return OFFER_SHARE_OF_PRIORITY[place]
+
+
 def allowed_repeats(repeats: RepeatState, newest: int) -> float:
     """Return the repeats that the budget allows in the window that ends with a bucket.
 
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -31,10 +31,15 @@
     Distance.OTHER_REGION: 0.6,
 }
 
-# A target nearby is good enough while its answer is expected within this share of the time in which
+# A target in the own failure domain is good enough while its answer is expected within this share of the time in which
 # it has its full value. Several nested calls share the time of one request, so each may use less.
 NEAR_SHARE = {WorkKind.NEW: 0.6, WorkKind.NESTED: 0.3}
 
+# What a call that fails costs its caller, as a share of the same time. It is more than the cost of
+# any distance, so that a target that fails every call is left, but little enough that calls stay
+# nearby while a failure is shared by all targets.
+FAILING_COST = 0.7
+
 # A report older than this says little of the queue, so calls may probe the target again.
 REPORT_VALID_S = 0.5
 
@@ -65,7 +70,7 @@
         nearest = soonest(usable, random)
         if nearest is None:
             continue
-        if nearest.expected_s <= enough_s:
+        if distance is Distance.OWN_DOMAIN and nearest.expected_s <= enough_s:
             return choice_of(nearest)
         if best is None or cost_s(nearest, target_latency_s) < cost_s(best, target_latency_s):
             best = nearest
@@ -107,10 +112,7 @@
     kind: WorkKind,
     now: float,
 ) -> list[Candidate]:
-    """Return the targets that may take the request; those under suspicion go to another list.
-
-    A failed call costs its caller about the time that the whole request may take.
-    """
+    """Return the targets that may take the request; those under suspicion go to another list."""
     usable = []
     is_bound = len(exchange["offered"]) >= exchange["route"].max_attempts
     for entry, distance in entries:
@@ -124,7 +126,8 @@
         wait_s = expected_wait_s(view, entry, kind, now)
         expected_s = wait_s + (view["report"].mean_s or DEFAULT_MEAN_S)
         if view["failing"]:
-            expected_s += failing_share(view, now) * exchange["route"].target_latency_s
+            failing_s = FAILING_COST * exchange["route"].target_latency_s
+            expected_s += failing_share(view, now) * failing_s
         candidate = Candidate(entry, distance, entry.host == place.host, expected_s)
         if now < view["suspected_until"]:
             suspected.append(candidate)
