--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -167,7 +167,7 @@
         self.head_lines = entry.dialect.head_lines(request, entry.place.service)
         self.respond: Callable[[HttpResponse], None] | None = respond
         self.handle: RequestHandle | None = None
-        parent = parent_of(entry.lineage, begin.deadline)
+        parent = parent_of(entry.lineage, facts.time_left_s, now)
         self.exchange = Exchange(
             facts=facts,
             route=begin.route,
--- a/src/jacinthsail/internal/queries/lineage.py
+++ b/src/jacinthsail/internal/queries/lineage.py
@@ -40,8 +40,15 @@
     return rank // RANKS_PER_PRIORITY
 
 
-def parent_of(lineage: LineageState, deadline: float) -> RunningParent | None:
-    """Return the request at the own target that a call with this deadline is made for."""
+def parent_of(lineage: LineageState, time_left_s: float | None, now: float) -> RunningParent | None:
+    """Return the request at the own target that a call with this time left is made for.
+
+    The time left is the one that the call states. The time-out of the call's own route may be
+    shorter and says nothing of the parent.
+    """
+    if time_left_s is None:
+        return None
+    deadline = now + time_left_s
     running = lineage["running"]
     place = bisect_left(running, (deadline,))
     nearest = None
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -31,8 +31,9 @@
     Distance.OTHER_REGION: 0.6,
 }
 
-# A target in the own failure domain is good enough while its answer is expected within this share of the time in which
-# it has its full value. Several nested calls share the time of one request, so each may use less.
+# A target in the own failure domain is good enough while its answer is expected within this share
+# of the time in which it has its full value. Several nested calls share the time of one request, so
+# each may use less.
 NEAR_SHARE = {WorkKind.NEW: 0.6, WorkKind.NESTED: 0.3}
 
 # What a call that fails costs its caller, as a share of the same time. It is more than the cost of
--- a/tests/fast/test_lineage.py
+++ b/tests/fast/test_lineage.py
@@ -23,12 +23,16 @@
     def test_nested_call_has_the_rank_of_its_request(self):
         """A call made for a filing would be shed with those made for lookups."""
         state = lineage((10.0, 1), (11.0, 5))
-        self.assertEqual(rank_on_arrival(parent_of(state, 10.004), 3), 0)
-        self.assertEqual(rank_on_arrival(parent_of(state, 10.996), 3), 4)
+        self.assertEqual(rank_on_arrival(parent_of(state, 5.004, 5.0), 3), 0)
+        self.assertEqual(rank_on_arrival(parent_of(state, 5.996, 5.0), 3), 4)
 
     def test_request_of_a_caller_has_the_rank_of_its_route(self):
         """A lookup that is taken for a nested call would go before the filings that wait."""
-        self.assertEqual(rank_on_arrival(parent_of(lineage((10.0, 1)), 12.0), 2), 5)
+        self.assertEqual(rank_on_arrival(parent_of(lineage((10.0, 1)), 7.0, 5.0), 2), 5)
+
+    def test_request_without_a_stated_time_has_no_parent(self):
+        """Any request at the target could be taken for its parent."""
+        self.assertIsNone(parent_of(lineage((10.0, 1)), None, 10.0))
 
     @STEADY
     @given(st.lists(st.tuples(st.floats(0.0, 5.0), st.integers(0, 5), st.booleans())))
@@ -44,4 +48,4 @@
                 running.remove(parent)
         self.assertEqual(state["running"], sorted(running))
         for parent in running:
-            self.assertEqual(parent_of(state, parent.deadline).deadline, parent.deadline)
+            self.assertEqual(parent_of(state, parent.deadline, 0.0).deadline, parent.deadline)
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -145,6 +145,36 @@
             self.assertLess(text.index(b"ran r-1"), text.index(b"ran r-2"))
             writer.close()
 
+    async def test_nested_call_has_the_rank_of_its_request_whatever_its_own_timeout(self):
+        """The calls of a filing would be shed with those of lookups at the next service."""
+        ranks = []
+
+        def calls_back(target, request, respond):
+            left_ms = int(header_of(request, b"x-deadline-ms"))
+            if header_of(request, b"x-attempt-id") == "nested":
+                sleeping(0.1)(target, request, respond)
+                return
+
+            async def call():
+                nested = await world.caller(2)
+                head = f"X-Deadline-Ms: {left_ms}\r\n"
+                asked = asyncio.ensure_future(nested.ask("/short/x", "nested", head=head))
+                await world.until(lambda: world.nodes[2].entry.open)
+                ranks.extend(one.exchange["rank"] for one in world.nodes[2].entry.open)
+                await asked
+                respond(target.answer(request))
+
+            self.call = asyncio.ensure_future(call())
+
+        async with World() as world:
+            short = {**ROUTE, "prefix": "/short/", "timeout": "300ms", "priority": 2}
+            first = {**ROUTE, "priority": 0}
+            world.store.put("op/config", manifest(2, (first, short)))
+            caller = await self.fleet(world, calls_back)
+            answer = await caller.ask("/lookup/x", "r-1", head="X-Deadline-Ms: 900\r\n")
+            self.assertEqual(answer.status, 200)
+            self.assertIn(0, ranks)
+
     async def test_leaving_target_gets_no_new_work(self):
         """A target would be stopped with requests in flight."""
         async with World() as world:
