Read a store that returns in time, and tell second answers apart

Change: a watch waits 1 s, a read after a failure not at all, an answer is awaited 0.8 s more; a request does not go twice in a row over one connection; answers without the id of the request are not taken.

--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -69,7 +69,7 @@
         self.must_close = False
         self.idle_timeout_s: float | None = None
         self.idle_since = 0.0
-        self.exchanges = 0
+        self.last_request_id = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remember the transport and bound the wait for acknowledgements."""
@@ -91,9 +91,10 @@
         on_result: Callable[[ExchangeResult], None],
         matches: Matches | None = None,
         is_head: bool = False,
+        request_id: str = "",
     ) -> None:
         """Send one request; the callback gets its result once."""
-        self.exchanges += 1
+        self.last_request_id = request_id
         if self.transport is None or self.transport.is_closing():
             on_result(Broken("the connection was closed before the request", False))
             return
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -236,18 +236,23 @@
         task.add_done_callback(self.tasks.discard)
 
     def _idle_connection(self, forward: Forward, now: float) -> HttpClientConnection | None:
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection.is_idle():
-                continue
+        """Return the connection that was in use last and may carry the request.
+
+        A second answer to the last request on a connection may still arrive there, and its id would
+        match if that request were sent again on it.
+        """
+        for place in range(len(self.idle) - 1, -1, -1):
+            connection = self.idle[place]
             idle_s = now - connection.idle_since
-            limit_s = (connection.idle_timeout_s or DEFAULT_IDLE_S + IDLE_MARGIN_S) - IDLE_MARGIN_S
-            if idle_s > limit_s:
+            if not connection.is_idle() or idle_s > idle_limit_s(connection):
+                del self.idle[place]
                 connection.abort()
                 continue
             if not forward.repeatable and idle_s > FRESH_IDLE_S:
-                self.idle.append(connection)
                 return None
+            if connection.last_request_id == forward.request_id:
+                continue
+            del self.idle[place]
             return connection
         return None
 
@@ -281,6 +286,7 @@
             lambda result: self._on_result(running, result),
             lambda answer: self.dialect.is_answer_to(answer, forward),
             forward.method == "HEAD",
+            forward.request_id,
         )
 
     def _on_result(self, running: RunningForward, result: ExchangeResult) -> None:
@@ -377,3 +383,9 @@
         """Close every connection."""
         for connection in list(self.connections):
             connection.abort()
+
+
+def idle_limit_s(connection: HttpClientConnection) -> float:
+    """Return how long a connection may be idle before the target may close it."""
+    stated_s = connection.idle_timeout_s
+    return DEFAULT_IDLE_S if stated_s is None else stated_s - IDLE_MARGIN_S
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -32,8 +32,8 @@
     async def read_listing(self) -> StoreAnswer:
         """Read everything."""
 
-    async def read_changes(self, after: int) -> StoreAnswer:
-        """Read what changed after a revision."""
+    async def read_changes(self, after: int, wait_s: float) -> StoreAnswer:
+        """Read what changed after a revision, waiting so long for a change."""
 
 
 class StoreFollower(mode.Service):
@@ -71,7 +71,7 @@
         if isinstance(read, ReadListing):
             return await self.client.read_listing()
         assert isinstance(read, ReadChanges)
-        return await self.client.read_changes(read.after)
+        return await self.client.read_changes(read.after, read.wait_s)
 
     def _apply(self, answer: StoreAnswer, now: float) -> None:
         failures = self.reading["failures"]
--- a/src/jacinthsail/internal/model/store.py
+++ b/src/jacinthsail/internal/model/store.py
@@ -80,9 +80,10 @@
 
 
 class ReadChanges(NamedTuple):
-    """What changed since a revision has to be read."""
+    """What changed since a revision has to be read; the store may wait for a change so long."""
 
     after: int
+    wait_s: float
 
 
 StoreRead = ReadListing | ReadChanges
--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -9,12 +9,13 @@
 # answered many times a second. Changes must be in force within 2 s.
 WATCH_PAUSE_S = 0.4
 
-# A watch is answered within this time even if nothing changes.
-WATCH_WAIT_S = 5.0
+# A watch is answered within this time even if nothing changes. A store that goes silent is noticed
+# only when that time is over, and changes must be in force within 2 s of its return.
+WATCH_WAIT_S = 1.0
 
 # Pause after a failed read; all nodes return together after an outage, hence the jitter.
 FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 0.8
+LONGEST_RETRY_S = 0.5
 
 
 def new_reading() -> ReadingState:
@@ -26,7 +27,9 @@
     """Return what is read next."""
     if reading["needs_listing"]:
         return ReadListing()
-    return ReadChanges(fleet["revision"])
+    # A read that may be lost again must not wait for changes.
+    wait_s = 0.0 if reading["failures"] else WATCH_WAIT_S
+    return ReadChanges(fleet["revision"], wait_s)
 
 
 def pause_before_read_s(reading: ReadingState, random: Random) -> float:
--- a/src/jacinthsail/platform/http.py
+++ b/src/jacinthsail/platform/http.py
@@ -142,11 +142,17 @@
         return TargetAnswer(answer.status, b"".join(lines), answer.body)
 
     def is_answer_to(self, answer: HttpAnswer, forward: Forward) -> bool:
-        """Tell whether an answer names the request; one that names none belongs to it too."""
+        """Tell whether an answer names the request.
+
+        Targets echo the id of every request. An answer without it may be a second answer to an
+        earlier request, so it is not taken for this one.
+        """
+        if not forward.request_id:
+            return True
         for name, value in answer.headers:
             if name == names.HEADER_ATTEMPT_ID:
                 return value.decode("latin-1") == forward.request_id
-        return True
+        return False
 
 
 @lru_cache(maxsize=32)
--- a/src/jacinthsail/platform/store.py
+++ b/src/jacinthsail/platform/store.py
@@ -28,13 +28,13 @@
     TargetRemoved,
     Unreadable,
 )
-from jacinthsail.internal.queries.store_reading import WATCH_WAIT_S
 from jacinthsail.platform import names
 from jacinthsail.platform.decoding import DECODE_ERRORS, decode_manifest, decode_target
 
-# The store answers within milliseconds; a slow one answers within some hundred.
-ANSWER_TIMEOUT_S = 1.5
-CONNECT_TIMEOUT_S = 1.0
+# The store answers within milliseconds, a slow one within some hundred. A silent one has to be
+# asked again soon, so that a change after its return is in force within 2 s.
+ANSWER_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.5
 
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
@@ -71,11 +71,11 @@
             except DECODE_ERRORS as error:
                 return StoreUnavailable(f"undecodable page: {type(error).__name__}: {error}")
 
-    async def read_changes(self, after: int) -> StoreAnswer:
-        """Wait for changes after a revision."""
-        wait_ms = int(WATCH_WAIT_S * 1000)
+    async def read_changes(self, after: int, wait_s: float) -> StoreAnswer:
+        """Read what changed after a revision, waiting so long for a change."""
+        wait_ms = int(wait_s * 1000)
         path = f"{names.WATCH_PATH}?prefix=&after={after}&waitMs={wait_ms}"
-        answer = await self._get(path, WATCH_WAIT_S + ANSWER_TIMEOUT_S)
+        answer = await self._get(path, wait_s + ANSWER_TIMEOUT_S)
         if isinstance(answer, StoreUnavailable):
             return HistoryGone() if answer.status == STATUS_HISTORY_GONE else answer
         changes: list[StoreChange] = []
--- a/src/jacinthsail/testing/platform_stand_ins.py
+++ b/src/jacinthsail/testing/platform_stand_ins.py
@@ -37,6 +37,11 @@
     return ""
 
 
+def id_line(request: HttpRequest) -> bytes:
+    """Return the header line that echoes the id of a request."""
+    return f"X-Attempt-Id: {header_of(request, b'x-attempt-id')}\r\n".encode("latin-1")
+
+
 class Watch(NamedTuple):
     """A watch that waits for events."""
 
@@ -154,15 +159,15 @@
 
     def answer(self, request: HttpRequest, status: int = 200, body: bytes = b"") -> HttpResponse:
         """Return a sealed answer to a request."""
+        lines = id_line(request) + f"X-Response-Seal: seal-{self.incarnation}\r\n".encode()
         request_id = header_of(request, b"x-attempt-id")
-        lines = f"X-Attempt-Id: {request_id}\r\nX-Response-Seal: seal-{self.incarnation}\r\n"
         content = body or f"{self.incarnation} ran {request_id}".encode()
-        return HttpResponse(status, lines.encode("latin-1"), content)
+        return HttpResponse(status, lines, content)
 
     def serve(self, request: HttpRequest, respond: Respond) -> RequestHandle | None:
         """Run one request, unless it is for another incarnation."""
         if header_of(request, b"x-expected-instance") not in ("", self.incarnation):
-            respond(HttpResponse(421, b"", b""))
+            respond(HttpResponse(421, id_line(request), b""))
             return None
         self.runs.append(request)
         self.behaviour(self, request, respond)
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -4,8 +4,8 @@
 import unittest
 
 from jacinthsail.internal.adapters.http_client import Broken
-from jacinthsail.internal.adapters.http_server import HttpResponse
-from jacinthsail.testing.platform_stand_ins import CallerStandIn, TargetStandIn, header_of
+from jacinthsail.internal.adapters.http_server import HttpResponse, encode_response
+from jacinthsail.testing.platform_stand_ins import CallerStandIn, TargetStandIn, header_of, id_line
 from tests.common.platform_world import READY_PORT, ROUTE, World, manifest
 
 
@@ -35,13 +35,21 @@
             return
         left[0] -= 1
         target.runs.pop()
-        respond(HttpResponse(503, b"X-Not-Executed: 1\r\n", b""))
+        respond(HttpResponse(503, id_line(request) + b"X-Not-Executed: 1\r\n", b""))
 
     return behaviour
 
 
+def second_answer_first(target, request, respond):
+    """Send a second answer to an earlier request, then the proper one."""
+    stray = HttpResponse(200, b"X-Response-Seal: old\r\n", b"stray")
+    transport = next(iter(target.port.connections)).transport
+    transport.write(encode_response(stray, False, False))
+    respond(target.answer(request))
+
+
 def unsealed(target, request, respond):
-    respond(target.answer(request)._replace(head_lines=b""))
+    respond(target.answer(request)._replace(head_lines=id_line(request)))
 
 
 class PlatformPathTest(unittest.IsolatedAsyncioTestCase):
@@ -94,6 +102,32 @@
             self.assertEqual(answer.status, 200)
             self.assertEqual(len(world.targets[2].runs), 1)
 
+    async def test_second_answer_to_a_refused_offer_is_not_taken_for_the_next_offer(self):
+        """The second answer names the same request, but it is not what its run will answer."""
+
+        def shed_twice(target, request, respond):
+            if len(target.runs) > 1:
+                sleeping(0.05)(target, request, respond)
+                return
+            transport = next(iter(target.port.connections)).transport
+            stray = target.answer(request, body=b"stray")
+            not_run = HttpResponse(503, id_line(request) + b"X-Not-Executed: 1\r\n", b"")
+            respond(not_run)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, transport.write, encode_response(stray, False, False))
+
+        async with World() as world:
+            caller = await self.fleet(world, shed_twice)
+            answer = await caller.ask("/charge/x", "r-1", method="POST", body=b"1")
+            self.assertEqual((answer.status, answer.body), (200, b"i-2 ran r-1"))
+
+    async def test_answer_without_the_id_of_the_request_is_not_its_answer(self):
+        """A caller would get the second answer to somebody else's request."""
+        async with World() as world:
+            caller = await self.fleet(world, second_answer_first)
+            answer = await caller.ask("/charge/x", "r-1", method="POST", body=b"1")
+            self.assertEqual((answer.status, answer.body), (200, b"i-2 ran r-1"))
+
     async def test_charge_is_never_repeated(self):
         """A charge would be made twice."""
         async with World() as world:
