Recognise nested calls by the id of their request, and repeat no shared failure

Change: targets put the id of their request before the ids of its calls; the adapter decodes it and the lineage looks it up. A request that failed is not run again while every other target fails over 20% of its calls.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -70,7 +70,7 @@
     next_step,
 )
 from jacinthsail.internal.queries.patience import good_within_s, patience_s
-from jacinthsail.internal.queries.target_choice import choose_target
+from jacinthsail.internal.queries.target_choice import choose_target, failing_elsewhere
 
 # A target answers at the deadline that it was told; its answer needs some time to arrive here.
 DEADLINE_SLACK_S = 0.12
@@ -167,7 +167,7 @@
         self.head_lines = entry.dialect.head_lines(request, entry.place.service)
         self.respond: Callable[[HttpResponse], None] | None = respond
         self.handle: RequestHandle | None = None
-        parent = parent_of(entry.lineage, facts.time_left_s, now)
+        parent = parent_of(entry.lineage, facts.parent_id)
         self.exchange = Exchange(
             facts=facts,
             route=begin.route,
@@ -233,7 +233,8 @@
         if self.respond is None:
             return
         _record(outcome, self, incarnation, now)
-        _follow(next_step(outcome, self.exchange, now), self, now)
+        failing = failing_elsewhere(self.entry.fleet, self.exchange, now)
+        _follow(next_step(outcome, self.exchange, failing, now), self, now)
 
     def give_up(self, step: GiveUp, now: float) -> None:
         """Answer the caller without a target."""
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -110,7 +110,7 @@
         self.reading = new_reading()
         self.backlog = new_backlog(FIRST_SLOTS)
         self.repeats = new_repeats()
-        self.lineage = LineageState(running=[], next_ticket=1)
+        self.lineage = LineageState(running={}, next_ticket=1)
         self.own_target = OwnTarget(
             self.backlog,
             self.lineage,
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -209,10 +209,9 @@
         record_start(self.backlog, running.forward)
         running.started_at = now
         running.parent = RunningParent(
-            deadline,
+            running.forward.request_id,
             self.lineage["next_ticket"],
             running.forward.rank,
-            running.forward.request_id,
             running.forward.repeat in MAY_HAVE_RUN,
         )
         add_parent(self.lineage, running.parent)
--- a/src/jacinthsail/internal/model/exchange.py
+++ b/src/jacinthsail/internal/model/exchange.py
@@ -42,9 +42,14 @@
 
 
 class RequestFacts(NamedTuple):
-    """What the decisions need of a request that arrived from a caller."""
+    """What the decisions need of a request that arrived from a caller.
+
+    ``parent_id`` names the request that a target makes this call for; it is empty if the id of the
+    call tells nothing of it.
+    """
 
     request_id: str
+    parent_id: str
     method: str
     url: bytes
     host: str
--- a/src/jacinthsail/internal/model/lineage.py
+++ b/src/jacinthsail/internal/model/lineage.py
@@ -4,20 +4,19 @@
 
 
 class RunningParent(NamedTuple):
-    """A request at the own target: its deadline in monotonic seconds, its rank and its id.
+    """A request at the own target.
 
     ``is_repeat`` tells that it may have run before, so its calls are made once more.
     """
 
-    deadline: float
+    request_id: str
     ticket: int
     rank: int
-    request_id: str
     is_repeat: bool
 
 
 class LineageState(TypedDict):
-    """The requests at the own target, ordered by deadline."""
+    """The requests at the own target by their ids."""
 
-    running: list[RunningParent]
+    running: dict[str, RunningParent]
     next_ticket: int
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -27,6 +27,9 @@
 # Nodes that may refuse one request before its caller is told; each costs a round trip.
 MAX_REFUSALS = 3
 
+# From this share of failing calls on, a failure is taken for one that the targets share.
+SHARED_FAILURE = 0.2
+
 # Targets that may turn one request away before its caller is told.
 MAX_BOUNCES = 1
 
@@ -35,20 +38,25 @@
 
 
 @singledispatch
-def next_step(outcome: object, exchange: Exchange, now: float) -> NextStep:
-    """Return what follows an outcome."""
+def next_step(
+    outcome: object, exchange: Exchange, failing_elsewhere: float, now: float
+) -> NextStep:
+    """Return what follows an outcome.
+
+    ``failing_elsewhere`` is the share of calls that the best other target fails.
+    """
     raise NotImplementedError(f"no next step after {type(outcome).__name__}; register one")
 
 
 @next_step.register
-def _(outcome: TargetAnswer, exchange: Exchange, now: float) -> NextStep:
-    if outcome.status in REPEATED_STATUSES and can_run_again(exchange, now):
+def _(outcome: TargetAnswer, exchange: Exchange, failing_elsewhere: float, now: float) -> NextStep:
+    if outcome.status in REPEATED_STATUSES and can_run_again(exchange, failing_elsewhere, now):
         return SendAgain(Reason.TARGET_ANSWERED, Repeat.RUN)
     return Deliver(outcome)
 
 
 @next_step.register
-def _(outcome: NotRun, exchange: Exchange, now: float) -> NextStep:
+def _(outcome: NotRun, exchange: Exchange, failing_elsewhere: float, now: float) -> NextStep:
     if outcome.reason in REFUSED_BY_TARGET:
         if exchange["bounces"] <= MAX_BOUNCES and has_time(exchange, now):
             return SendAgain(outcome.reason, Repeat.OFFER)
@@ -60,8 +68,8 @@
 
 
 @next_step.register
-def _(outcome: Unknown, exchange: Exchange, now: float) -> NextStep:
-    if can_run_again(exchange, now):
+def _(outcome: Unknown, exchange: Exchange, failing_elsewhere: float, now: float) -> NextStep:
+    if can_run_again(exchange, failing_elsewhere, now):
         return SendAgain(outcome.reason, Repeat.RUN)
     if now >= exchange["deadline"]:
         return GiveUp(STATUS_TIMEOUT, outcome.reason, 0.0)
@@ -92,8 +100,14 @@
     return exchange["deadline"] - now > needed_s
 
 
-def can_run_again(exchange: Exchange, now: float) -> bool:
-    """Tell whether a request that may have run may be sent to one more target."""
+def can_run_again(exchange: Exchange, failing_elsewhere: float, now: float) -> bool:
+    """Tell whether a request that may have run may be sent to one more target.
+
+    While every target fails many of its calls, another run would fail like the first one, and the
+    calls that it makes again take the repeats of the services behind.
+    """
     if not is_repeatable(exchange) or not has_time(exchange, now):
         return False
+    if failing_elsewhere > SHARED_FAILURE:
+        return False
     return len(exchange["offered"]) < exchange["route"].max_attempts
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -148,3 +148,14 @@
         new_wait_s = report.new_wait_s if kind is WorkKind.NEW else 0.0
     wait_s = max(0, load + 1 - limit) * (report.mean_s or DEFAULT_MEAN_S) / max(1, limit)
     return max(wait_s, new_wait_s)
+
+
+def failing_elsewhere(fleet: FleetState, exchange: Exchange, now: float) -> float:
+    """Return the share of calls that the best target fails that was not asked yet."""
+    least = 1.0
+    for entries in fleet["by_service"].get(exchange["service"], {}).values():
+        for entry, _ in entries:
+            if entry.leaving or entry.incarnation in exchange["tried"]:
+                continue
+            least = min(least, failing_share(fleet["views"][entry.incarnation], now))
+    return least
--- a/src/jacinthsail/platform/http.py
+++ b/src/jacinthsail/platform/http.py
@@ -58,6 +58,8 @@
         return Success(
             RequestFacts(
                 request_id=request_id.decode("latin-1"),
+                # Targets put the id of their own request, and a dot, before those of its calls.
+                parent_id=request_id.rpartition(b".")[0].decode("latin-1"),
                 method=request.method,
                 url=request.url,
                 host=host.partition(b":")[0].decode("latin-1").lower(),
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -76,7 +76,7 @@
 
 
 def facts(path="/a/x", time_left_s=None, request_id="r-1"):
-    return RequestFacts(request_id, "GET", path.encode(), "h.example", path, time_left_s)
+    return RequestFacts(request_id, "", "GET", path.encode(), "h.example", path, time_left_s)
 
 
 def exchange(policy=None, now=0.0, service="seals"):
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -166,27 +166,31 @@
 class NextStepsTest(unittest.TestCase):
     def test_success_is_delivered(self):
         """An answer that is ready must reach its caller."""
-        self.assertEqual(next_step(OK, exchange(), 9.0), Deliver(OK))
+        self.assertEqual(next_step(OK, exchange(), 0.0, 9.0), Deliver(OK))
 
     def test_failed_repeatable_request_is_sent_again(self):
         """One failing target in a hundred would fail one caller in a hundred."""
-        step = next_step(FAILED, exchange(), 0.1)
+        step = next_step(FAILED, exchange(), 0.0, 0.1)
         self.assertEqual(step, SendAgain(Reason.TARGET_ANSWERED, Repeat.RUN))
 
+    def test_failure_that_all_targets_share_is_not_repeated(self):
+        """A second run would fail too and take the repeats of the services behind."""
+        self.assertEqual(next_step(FAILED, exchange(), 0.5, 0.1), Deliver(FAILED))
+
     def test_at_most_once_request_is_never_sent_again_after_it_may_have_run(self):
         """A filing or a charge would run twice."""
         request = exchange(route(execution=Execution.AT_MOST_ONCE))
-        self.assertEqual(next_step(FAILED, request, 0.1), Deliver(FAILED))
+        self.assertEqual(next_step(FAILED, request, 0.0, 0.1), Deliver(FAILED))
         for reason in (Reason.CONNECTION_LOST, Reason.INCOMPLETE_ANSWER):
-            step = next_step(Unknown(reason, 0), request, 0.1)
+            step = next_step(Unknown(reason, 0), request, 0.0, 0.1)
             self.assertEqual((type(step), step.status), (GiveUp, 502))
 
     def test_at_most_once_request_goes_on_after_a_true_not_run(self):
         """A filing would be refused although another target is free."""
         request = exchange(route(execution=Execution.AT_MOST_ONCE))
-        step = next_step(NotRun(Reason.TARGET_REFUSED, 0), request, 0.1)
+        step = next_step(NotRun(Reason.TARGET_REFUSED, 0), request, 0.0, 0.1)
         self.assertEqual(step, SendAgain(Reason.TARGET_REFUSED, Repeat.OFFER))
-        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, 0.1)
+        step = next_step(NotRun(Reason.QUEUE_FULL, 0, 0.2), request, 0.0, 0.1)
         self.assertEqual(step, SendAgain(Reason.QUEUE_FULL, Repeat.NONE))
 
     def test_not_run_is_promised_only_when_no_send_may_have_run(self):
@@ -194,25 +198,27 @@
         request = exchange()
         request["refusals"] = 9
         refused = NotRun(Reason.QUEUE_FULL, 0, 0.2)
-        self.assertEqual(next_step(refused, request, 0.1), GiveUp(503, Reason.QUEUE_FULL, 0.2))
+        self.assertEqual(next_step(refused, request, 0.0, 0.1), GiveUp(503, Reason.QUEUE_FULL, 0.2))
         request["unsettled"] = True
-        self.assertEqual(next_step(refused, request, 0.1).status, 502)
+        self.assertEqual(next_step(refused, request, 0.0, 0.1).status, 502)
 
     def test_spent_budget_ends_the_repeats_with_the_answer_there_is(self):
         """A caller would lose the target's own failure, or more nodes would be asked in vain."""
         request = exchange()
         spent = NotRun(Reason.RETRIES_SPENT, 0, 0.2)
-        self.assertEqual(next_step(spent, request, 0.1), GiveUp(503, Reason.RETRIES_SPENT, 0.2))
+        self.assertEqual(
+            next_step(spent, request, 0.0, 0.1), GiveUp(503, Reason.RETRIES_SPENT, 0.2)
+        )
         request["unsettled"] = True
         request["failed_answer"] = FAILED
-        self.assertEqual(next_step(spent, request, 0.1), Deliver(FAILED))
+        self.assertEqual(next_step(spent, request, 0.0, 0.1), Deliver(FAILED))
 
     def test_attempts_are_bounded(self):
         """A request must not reach more targets than its route allows."""
         request = exchange()
         request["offered"] |= {"a", "b"}
-        self.assertEqual(next_step(FAILED, request, 0.1), Deliver(FAILED))
+        self.assertEqual(next_step(FAILED, request, 0.0, 0.1), Deliver(FAILED))
 
     def test_nothing_is_sent_again_without_time(self):
         """A repeat that cannot finish in time is wasted work."""
-        self.assertEqual(next_step(FAILED, exchange(), 1.97), Deliver(FAILED))
+        self.assertEqual(next_step(FAILED, exchange(), 0.0, 1.97), Deliver(FAILED))
--- a/tests/fast/test_lineage.py
+++ b/tests/fast/test_lineage.py
@@ -13,39 +13,39 @@
 
 
 def lineage(*parents):
-    state = LineageState(running=[], next_ticket=1)
-    for deadline, rank in parents:
-        add_parent(state, RunningParent(deadline, state["next_ticket"], rank, f"r-{rank}", False))
+    state = LineageState(running={}, next_ticket=1)
+    for name, rank in parents:
+        add_parent(state, RunningParent(name, state["next_ticket"], rank, False))
     return state
 
 
 class LineageTest(unittest.TestCase):
     def test_nested_call_has_the_rank_of_its_request(self):
         """A call made for a filing would be shed with those made for lookups."""
-        state = lineage((10.0, 1), (11.0, 5))
-        self.assertEqual(rank_on_arrival(parent_of(state, 5.004, 5.0), 3), 0)
-        self.assertEqual(rank_on_arrival(parent_of(state, 5.996, 5.0), 3), 4)
+        state = lineage(("filing", 1), ("lookup", 5))
+        self.assertEqual(rank_on_arrival(parent_of(state, "filing"), 3), 0)
+        self.assertEqual(rank_on_arrival(parent_of(state, "lookup"), 3), 4)
 
     def test_request_of_a_caller_has_the_rank_of_its_route(self):
         """A lookup that is taken for a nested call would go before the filings that wait."""
-        self.assertEqual(rank_on_arrival(parent_of(lineage((10.0, 1)), 7.0, 5.0), 2), 5)
-
-    def test_request_without_a_stated_time_has_no_parent(self):
-        """Any request at the target could be taken for its parent."""
-        self.assertIsNone(parent_of(lineage((10.0, 1)), None, 10.0))
+        for name in ("", "unknown"):
+            with self.subTest(name=name):
+                self.assertEqual(rank_on_arrival(parent_of(lineage(("filing", 1)), name), 2), 5)
 
     @STEADY
-    @given(st.lists(st.tuples(st.floats(0.0, 5.0), st.integers(0, 5), st.booleans())))
-    def test_only_running_requests_are_parents(self, parents):
+    @given(st.lists(st.tuples(st.sampled_from("abcd"), st.booleans())))
+    def test_only_running_requests_are_parents(self, events):
         """A request that has ended would keep giving its rank to others."""
-        state = lineage(*((deadline, rank) for deadline, rank, _ in parents))
-        running = list(state["running"])
-        for parent, (_, _, ends) in zip(
-            sorted(running, key=lambda one: one.ticket), parents, strict=True
-        ):
-            if ends:
-                remove_parent(state, parent)
-                running.remove(parent)
-        self.assertEqual(state["running"], sorted(running))
-        for parent in running:
-            self.assertEqual(parent_of(state, parent.deadline, 0.0).deadline, parent.deadline)
+        state = lineage()
+        running = {}
+        for name, ends_first in events:
+            earlier = running.get(name)
+            if earlier is not None and ends_first:
+                remove_parent(state, earlier)
+                del running[name]
+            parent = RunningParent(name, state["next_ticket"], 1, False)
+            add_parent(state, parent)
+            if earlier is not None:
+                remove_parent(state, earlier)
+            running[name] = parent
+        self.assertEqual(state["running"], running)
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -179,20 +179,18 @@
             self.assertLess(text.index(b"ran r-1"), text.index(b"ran r-2"))
             writer.close()
 
-    async def test_nested_call_has_the_rank_of_its_request_whatever_its_own_timeout(self):
+    async def test_nested_call_has_the_rank_of_its_request(self):
         """The calls of a filing would be shed with those of lookups at the next service."""
         ranks = []
 
         def calls_back(target, request, respond):
-            left_ms = int(header_of(request, b"x-deadline-ms"))
-            if header_of(request, b"x-attempt-id") == "nested":
+            if header_of(request, b"x-attempt-id") == "r-1.call":
                 sleeping(0.1)(target, request, respond)
                 return
 
             async def call():
                 nested = await world.caller(2)
-                head = f"X-Deadline-Ms: {left_ms}\r\n"
-                asked = asyncio.ensure_future(nested.ask("/short/x", "nested", head=head))
+                asked = asyncio.ensure_future(nested.ask("/short/x", "r-1.call"))
                 await world.until(lambda: world.nodes[2].entry.open)
                 ranks.extend(one.exchange["rank"] for one in world.nodes[2].entry.open)
                 await asked
