Answer and log a fault of the node itself

Cause: an exception while a request was routed left its place in the order of the connection without an answer, so the caller and all later requests there waited. Change: the request is answered 502 and the fault is logged with its traceback. Result: a test that hung before passes.

--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -15,6 +16,8 @@
 from jacinthsail.internal.adapters.decision_log import log_request
 from jacinthsail.internal.model.calls import Reason
 
+_LOG = logging.getLogger("jacinthsail.callers")
+
 # Requests of one connection that are served at the same time; more wait unread in the socket.
 MAX_PIPELINED = 32
 
@@ -30,6 +33,9 @@
 STATUS_BODY_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
 
+# Promises nothing, since the request may have been sent before the fault.
+STATUS_INTERNAL_FAULT = 502
+
 _REJECTIONS = {
     STATUS_BAD_REQUEST: Reason.MALFORMED_REQUEST,
     STATUS_REQUEST_TIMEOUT: Reason.SLOW_CALLER,
@@ -249,7 +255,13 @@
             self.is_finished = True
         self.pending.append(pending)
         request = HttpRequest(method, self.url, self.headers, b"".join(self.body))
-        handle = self.port.serve(request, pending.respond)
+        try:
+            handle = self.port.serve(request, pending.respond)
+        except Exception:
+            # Without an answer this request would hold back all later ones of the connection.
+            _LOG.exception("a request could not be served")
+            pending.respond(HttpResponse(STATUS_INTERNAL_FAULT, b"", b""))
+            return
         if pending.response is None:
             pending.handle = handle
         if len(self.pending) >= MAX_PIPELINED and self.transport is not None:
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -278,6 +278,15 @@
             await stopping
             self.assertLess(loop.time() - started, 4.0)
 
+    async def test_fault_of_the_node_is_answered_and_logged(self):
+        """A caller would wait for its whole time, and nobody would learn of the fault."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0))
+            world.nodes[1].entry.fleet["routes"] = None
+            with self.assertLogs("jacinthsail.callers", "ERROR"):
+                answer = await caller.ask("/lookup/x", "r-1")
+            self.assertEqual(answer.status, 502)
+
     async def test_malformed_requests_are_refused(self):
         """A smuggled or oversized request could be read as two, or exhaust the memory."""
         cases = (
