Let a watch wait 1.4 s

Change: 1.4 s, the longest wait that, with the longest pause, stays under the 2 s in which changes must apply.

--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -11,7 +11,7 @@
 
 # A watch is answered within this time even if nothing changes. A store that goes silent is noticed
 # only when that time is over, and changes must be in force within 2 s of its return.
-WATCH_WAIT_S = 1.0
+WATCH_WAIT_S = 1.4
 
 # Pause after a failed read; all nodes return together after an outage, hence the jitter.
 FIRST_RETRY_S = 0.1
