Name each scenario test after its method, and reserve ports on an address of their own

Cause: the first full run of the divided suite ended without its slow tests: a method made in a loop was not found by its name, and ports were reserved on the address on which targets listen. Change: the functions carry the names of their methods; ports are reserved on 127.0.0.9.

--- a/src/jacinthsail/testing/mesh.py
+++ b/src/jacinthsail/testing/mesh.py
@@ -20,7 +20,7 @@
 HOST = "127.0.0.1"
 
 # Nothing listens on this address; it only keeps ports apart.
-RESERVATION_HOST = "127.0.0.2"
+RESERVATION_HOST = "127.0.0.9"
 
 # Targets have an address of their own, by which their nodes tell their calls from those of callers.
 TARGET_HOST = "127.0.0.2"
--- a/tests/slow/test_scenarios.py
+++ b/tests/slow/test_scenarios.py
@@ -57,7 +57,13 @@
     return test
 
 
+def _add_test(name, test):
+    # A test is also looked up by the name of its function when it is run alone.
+    test.__name__ = name
+    setattr(ScenariosTest, name, test)
+
+
 for _name in SCENARIOS:
-    setattr(ScenariosTest, f"test_{_name}", _scenario_test(_name))
+    _add_test(f"test_{_name}", _scenario_test(_name))
     if scenario_named(_name).twin is not None:
-        setattr(ScenariosTest, f"test_{_name}_twin", _twin_test(_name))
+        _add_test(f"test_{_name}_twin", _twin_test(_name))
