Let a low limit grow after three calls, and check no baseline that corrects itself

Cause: in front of few slots a slowdown raises the baseline, and it is checked again after four windows. By then the target is fast, so the check takes half of the slots away. At a limit of 1 a window of 10 calls also outlasts the slowdown.

Change: a limit below 10 may grow after 3 calls without a queue. Short windows do not bring the check of the baseline closer, and latency well below the baseline puts it off.

--- a/src/jacinthsail/internal/queries/limits.py
+++ b/src/jacinthsail/internal/queries/limits.py
@@ -37,6 +37,10 @@
 # would otherwise take seconds to grow.
 MIN_WINDOW_CALLS = 10
 
+# In front of few slots a complete window takes many rounds of calls. The limit may grow after this
+# many calls if none of them met a queue or an overloaded target.
+MIN_GROWTH_CALLS = 3
+
 # Means over fewer calls vary too much to be compared. At 4 slots and 200 ms a call, comparisons of
 # 40 calls lasted longer than the slowdown that caused them and delayed the return of goodput.
 MIN_COMPARED_CALLS = 6
@@ -225,9 +229,13 @@
 ) -> AdaptiveLimit:
     trend = limiter.trend
     window = window_after(trend, sample, now)
-    if window.calls < calls_in_window(limiter):
+    is_complete = window.calls >= calls_in_window(limiter)
+    if not is_complete and not may_grow_early(limiter, window):
         return limiter._replace(trend=trend._replace(window=window))
     step = step_after_window(limiter, steps, means_of(window))
+    if not is_complete:
+        # Checks of the baseline cost throughput, so short windows do not bring them closer.
+        step = step._replace(windows_until_check=trend.windows_until_check)
     limit = min(float(limiter.maximum), max(float(limiter.minimum), step.limit))
     return limiter._replace(limit=limit, trend=_trend_after(limiter, limit, step, now))
 
@@ -246,6 +254,18 @@
     return max(MIN_WINDOW_CALLS, limiter.limit)
 
 
+def may_grow_early(limiter: AdaptiveLimit, window: LatencyWindow) -> bool:
+    """Tell whether an incomplete window shows already that there is room for more calls."""
+    trend = limiter.trend
+    if trend.comparison is not None or trend.held or window.calls < MIN_GROWTH_CALLS:
+        return False
+    if limiter.limit >= MIN_WINDOW_CALLS or limiter.limit >= limiter.maximum or window.overloads:
+        return False
+    means = means_of(window)
+    is_used = means.in_flight >= USED_SHARE * int(limiter.limit)
+    return is_used and means.latency_s * NO_QUEUE_RATIO <= trend.baseline_s
+
+
 def _trend_after(limiter: AdaptiveLimit, limit: float, step: LimitStep, now: float) -> LatencyTrend:
     trend = limiter.trend
     # Calls that started at a lower limit met no longer queue than those that start now, so growth
@@ -310,6 +330,9 @@
         return _step_after_comparison(limiter, trend.comparison, means)
     latency_ratio = baseline_s / means.latency_s if means.latency_s else 1.0
     is_at_minimum = int(limit) <= limiter.minimum
+    if means.latency_s < NO_QUEUE_RATIO * baseline_s:
+        # The baseline follows the lower latency, which corrects it without a lower limit.
+        windows = WINDOWS_BETWEEN_CHECKS
     is_due = windows <= 0
     if (is_due or has_risen(means, baseline_s)) and not is_at_minimum:
         if not trend.held:
--- a/tests/fast/test_limiters_compared.py
+++ b/tests/fast/test_limiters_compared.py
@@ -60,3 +60,10 @@
             with self.subTest(seed=seed):
                 _, later = after_slowdown(slots=4, service_s=0.04, seed=seed)
                 self.assertGreaterEqual(later.useful_share, 0.9)
+
+    def test_few_slots_stay_in_use_after_a_slowdown(self):
+        """A check of a baseline that corrects itself takes slots away once the target is fast."""
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                _, later = after_slowdown(slots=4, service_s=0.04, seed=seed)
+                self.assertEqual(later.lowest_limit, 4)
