Pass lack of room up the chain, repeat leaf calls freely, and hand a target over late

Repeats of calls that make no calls of their own were held to the small part that bounds multiplying repeats, so lost answers were not mended although the budget was unused.

Change: a run that failed because a call made for it was refused for want of room says so in the reply; such runs lower the limit on new requests and are not repeated. Repeats at a target that makes no further calls may use the whole budget; important requests are reserved what they need at their present rate. A stopping node takes calls for its target until half a second before it closes.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -35,6 +35,7 @@
     record_target_outcome,
     record_target_unreachable,
 )
+from jacinthsail.internal.commands.lineage import record_nested_call, record_shed_call
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.exchange import (
     AnswerHere,
@@ -62,6 +63,7 @@
 from jacinthsail.internal.queries.lineage import parent_of, rank_on_arrival
 from jacinthsail.internal.queries.manifest_routes import decide_entry
 from jacinthsail.internal.queries.next_steps import (
+    NO_ROOM_REASONS,
     REFUSED_BY_TARGET,
     REPEATED_STATUSES,
     STATUS_TIMEOUT,
@@ -168,6 +170,8 @@
         self.respond: Callable[[HttpResponse], None] | None = respond
         self.handle: RequestHandle | None = None
         parent = parent_of(entry.lineage, facts.parent_id)
+        if parent is not None:
+            record_nested_call(parent)
         self.exchange = Exchange(
             facts=facts,
             route=begin.route,
@@ -176,13 +180,13 @@
             deadline=begin.deadline,
             tried=set(),
             rank=rank_on_arrival(parent, begin.route.priority),
-            parent_id="" if parent is None else parent.request_id,
+            parent_id="" if parent is None else parent["request_id"],
             offered=set(),
             bounces=0,
             refusals=0,
             current="",
             unsettled=False,
-            repeat=Repeat.INHERITED if parent is not None and parent.is_repeat else Repeat.NONE,
+            repeat=Repeat.INHERITED if parent is not None and parent["is_repeat"] else Repeat.NONE,
             failed_answer=None,
         )
         self.timer = entry.loop.call_at(begin.deadline + DEADLINE_SLACK_S, self.on_deadline)
@@ -242,6 +246,14 @@
             self.exchange["facts"], step.status, step.retry_after_s
         )
         self.finish(HttpResponse(step.status, head_lines, b""), step.reason, now)
+        if step.reason in NO_ROOM_REASONS:
+            self.mark_parent_shed()
+
+    def mark_parent_shed(self) -> None:
+        """Tell the run that made this call that it was refused for want of room."""
+        parent = parent_of(self.entry.lineage, self.exchange["parent_id"])
+        if parent is not None:
+            record_shed_call(parent)
 
     def finish(self, response: HttpResponse, reason: Reason, now: float) -> None:
         """Write the final answer, once."""
@@ -310,7 +322,8 @@
     failed = outcome.status in REPEATED_STATUSES
     if failed:
         record_failed_answer(opened.exchange, outcome)
-    record_target_outcome(opened.entry.fleet, incarnation, failed, now)
+    # The target is not at fault when a service behind it has no room.
+    record_target_outcome(opened.entry.fleet, incarnation, failed and not outcome.is_shed, now)
     record_failure(opened.exchange, may_have_run=True)
 
 
@@ -348,6 +361,8 @@
     answer = step.answer
     response = HttpResponse(answer.status, answer.head_lines, answer.body)
     opened.finish(response, Reason.TARGET_ANSWERED, now)
+    if answer.is_shed:
+        opened.mark_parent_shed()
 
 
 @_follow.register
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -66,6 +66,10 @@
 # they send requests that have to be served.
 READINESS_NOTICE_S = 2.6
 
+# Until the port is about to close, calls for the own target are taken as before. Refusing them for
+# the whole notice would leave its slots unused for longer than the restart takes.
+HANDOVER_S = 0.5
+
 # Requests at the own target have nearly all ended by then; longer waits would let in new callers.
 OWN_CALLS_S = 0.6
 
@@ -241,12 +245,14 @@
         started = loop.time()
         latest = started + self.settings.grace_s - STOP_MARGIN_S
         _LOG.info("stop was requested; %d requests are in progress", len(self.entry.open))
+        closes_at = min(latest, started + READINESS_NOTICE_S)
         self.is_leaving = True
+        self.callers_port.is_closing = True
+        await asyncio.sleep(max(0.0, closes_at - HANDOVER_S - loop.time()))
         stop_new_work(self.backlog)
         self.links.say_goodbye()
         self.own_target.refuse_waiting(Reason.DRAINING)
-        self.callers_port.is_closing = True
-        await asyncio.sleep(max(0.0, min(latest, started + READINESS_NOTICE_S) - loop.time()))
+        await asyncio.sleep(max(0.0, closes_at - loop.time()))
         # The own target may still make calls for the requests that it finishes.
         own_calls_until = min(latest, loop.time() + OWN_CALLS_S)
         while loop.time() < own_calls_until and self.backlog["in_flight"]:
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -60,6 +60,7 @@
       status @0 :UInt16;
       headLines @1 :Data;
       body @2 :Data;
+      isShed @6 :Bool;
     }
     notRun :group {
       reason @3 :Text;
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -14,12 +14,14 @@
 from jacinthsail.internal.commands.backlog import (
     leave_queue,
     put_in_queue,
+    record_calls,
     record_duration,
     record_end,
+    record_shed,
     record_start,
 )
 from jacinthsail.internal.commands.lineage import add_parent, remove_parent
-from jacinthsail.internal.commands.repeats import record_arrival
+from jacinthsail.internal.commands.repeats import note_demand, record_arrival
 from jacinthsail.internal.model.backlog import (
     BacklogState,
     Reject,
@@ -37,6 +39,7 @@
     kind_of,
     next_waiting,
 )
+from jacinthsail.internal.queries.lineage import new_parent
 from jacinthsail.internal.queries.repeats import is_within_budget
 
 CONNECT_TIMEOUT_S = 0.5
@@ -147,6 +150,7 @@
         """Run a request now or later, or reject it; the callback gets its outcome once."""
         now = self.loop.time()
         running = RunningForward(self, forward, on_outcome)
+        note_demand(self.repeats, forward.repeat, forward.rank, now)
         decision = decide_arrival(self.backlog, self.repeats, forward, now)
         if isinstance(decision, Reject):
             self._log("rejected", running, decision.reason, now)
@@ -208,7 +212,7 @@
         now = self.loop.time()
         record_start(self.backlog, running.forward)
         running.started_at = now
-        running.parent = RunningParent(
+        running.parent = new_parent(
             running.forward.request_id,
             self.lineage["next_ticket"],
             running.forward.rank,
@@ -298,11 +302,24 @@
         outcome = self.dialect.decode(result)
         if isinstance(outcome, NotRun) and self._offers_again(running, outcome):
             return
-        if isinstance(outcome, TargetAnswer) and outcome.status < STATUS_SERVER_ERROR:
+        if isinstance(outcome, TargetAnswer):
+            outcome = self._record_answer(running, outcome)
+        self._end(running, outcome)
+
+    def _record_answer(self, running: RunningForward, answer: TargetAnswer) -> TargetAnswer:
+        """Learn from an answer, and mark one that failed for want of room further on."""
+        now = self.loop.time()
+        parent = running.parent
+        if parent is not None:
+            record_calls(self.backlog, running.forward, parent["calls"])
+        if answer.status < STATUS_SERVER_ERROR:
             # A target that fails at once must not look fast.
-            now = self.loop.time()
             record_duration(self.backlog, running.forward, now - running.started_at, now)
-        self._end(running, outcome)
+            return answer
+        if parent is None or not parent["is_shed"]:
+            return answer
+        record_shed(self.backlog, running.forward, now)
+        return answer._replace(is_shed=True)
 
     def _offers_again(self, running: RunningForward, outcome: NotRun) -> bool:
         """Offer a request once more that the target turned away, if there is time and budget."""
@@ -313,7 +330,8 @@
             return False
         if running.offers >= MAX_OFFERS or now + delay_s >= running.deadline:
             return False
-        if not is_within_budget(self.repeats, Repeat.OFFER, forward.rank, now):
+        note_demand(self.repeats, Repeat.OFFER, forward.rank, now)
+        if not is_within_budget(self.repeats, Repeat.OFFER, forward.rank, False, now):
             return False
         record_arrival(self.repeats, Repeat.OFFER, now)
         running.connection = None
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -229,7 +229,7 @@
 @_fill_forward_outcome.register
 def _(outcome: TargetAnswer, builder: Any) -> None:
     answer = builder.init("answer")
-    answer.status, answer.headLines, answer.body = outcome
+    answer.status, answer.headLines, answer.body, answer.isShed = outcome
 
 
 @_fill_forward_outcome.register
@@ -367,7 +367,9 @@
     kind = reader.which()
     if kind == "answer":
         answer = reader.answer
-        return TargetAnswer(answer.status, bytes(answer.headLines), bytes(answer.body))
+        return TargetAnswer(
+            answer.status, bytes(answer.headLines), bytes(answer.body), answer.isShed
+        )
     if kind == "notRun":
         not_run = reader.notRun
         return NotRun(Reason(not_run.reason), 0, not_run.retryAfterMs / 1000)
--- a/src/jacinthsail/internal/commands/backlog.py
+++ b/src/jacinthsail/internal/commands/backlog.py
@@ -2,13 +2,14 @@
 
 import heapq
 
-from jacinthsail.internal.model.backlog import BacklogState, WaitingForward, WorkKind
+from jacinthsail.internal.model.backlog import BacklogState, Lane, WaitingForward, WorkKind
 from jacinthsail.internal.model.exchange import Forward
 from jacinthsail.internal.queries.backlog import (
     has_stale_head,
     is_good_time,
     kind_of,
     limit_after,
+    limit_after_shed,
 )
 
 # Weight of one more request in the mean time of the target and in the share of late answers.
@@ -56,12 +57,32 @@
         return
     is_good = is_good_time(forward, duration_s)
     lane["late_share"] += MEAN_WEIGHT * ((0.0 if is_good else 1.0) - lane["late_share"])
-    limit = limit_after(backlog, lane, is_good, now)
+    lane["shed_share"] -= MEAN_WEIGHT * lane["shed_share"]
+    _set_limit(lane, limit_after(backlog, lane, is_good, now), now)
+
+
+def record_shed(backlog: BacklogState, forward: Forward, now: float) -> None:
+    """Lower the limit on new requests after one failed for want of room further on."""
+    kind = kind_of(forward.rank)
+    if kind is WorkKind.NESTED:
+        return
+    lane = backlog["lanes"][kind]
+    lane["shed_share"] += MEAN_WEIGHT * (1.0 - lane["shed_share"])
+    _set_limit(lane, limit_after_shed(backlog, lane, now), now)
+
+
+def _set_limit(lane: Lane, limit: float, now: float) -> None:
     if limit < lane["limit"]:
         lane["lowered_at"] = now
     lane["limit"] = limit
 
 
+def record_calls(backlog: BacklogState, forward: Forward, calls: int) -> None:
+    """Update how many calls the target makes for a request."""
+    lane = backlog["lanes"][kind_of(forward.rank)]
+    lane["calls_per_run"] += MEAN_WEIGHT * (calls - lane["calls_per_run"])
+
+
 def set_slots(backlog: BacklogState, slots: int) -> None:
     """Set how many requests may be at the target."""
     slots = max(1, slots)
--- a/src/jacinthsail/internal/commands/repeats.py
+++ b/src/jacinthsail/internal/commands/repeats.py
@@ -1,13 +1,28 @@
 """Counts arrivals at the own target for the budget of repeats."""
 
 from jacinthsail.internal.model.repeats import Repeat, RepeatState
-from jacinthsail.internal.queries.repeats import bucket_of, outdated_buckets
+from jacinthsail.internal.queries.repeats import (
+    bucket_of,
+    is_important,
+    is_new_repeat,
+    outdated_buckets,
+)
 
 
 def record_arrival(repeats: RepeatState, kind: Repeat, now: float) -> None:
     """Count a request that was offered to the target."""
-    counts = repeats["firsts"] if kind is Repeat.NONE else repeats["repeats"]
-    bucket = bucket_of(repeats, now)
+    _count(
+        repeats["firsts"] if kind is Repeat.NONE else repeats["repeats"], bucket_of(repeats, now)
+    )
+
+
+def note_demand(repeats: RepeatState, kind: Repeat, rank: int, now: float) -> None:
+    """Count a repeat that an important request asks for."""
+    if is_new_repeat(kind) and is_important(rank):
+        _count(repeats["wanted"], bucket_of(repeats, now))
+
+
+def _count(counts: dict[int, int], bucket: int) -> None:
     if bucket not in counts:
         for outdated in outdated_buckets(counts, bucket):
             del counts[outdated]
--- a/src/jacinthsail/internal/model/backlog.py
+++ b/src/jacinthsail/internal/model/backlog.py
@@ -31,6 +31,8 @@
     ``waiting`` is a heap of (rank, ticket), ``by_rank`` counts those that still wait. ``limit``
     bounds how many may be at the target, ``mean_s`` is the mean time that the target takes and
     ``late_share`` the mean share of answers that came too late to have their full value.
+    ``shed_share`` is the mean share of runs that failed because a service further on had no room,
+    ``calls_per_run`` how many calls the target makes for a request on average.
     """
 
     waiting: list[tuple[int, int]]
@@ -40,6 +42,8 @@
     lowered_at: float
     mean_s: float
     late_share: float
+    shed_share: float
+    calls_per_run: float
 
 
 class BacklogState(TypedDict):
--- a/src/jacinthsail/internal/model/exchange.py
+++ b/src/jacinthsail/internal/model/exchange.py
@@ -31,11 +31,15 @@
 
 
 class TargetAnswer(NamedTuple):
-    """The target's complete answer; ``head_lines`` are its header lines without the framing."""
+    """The target's complete answer; ``head_lines`` are its header lines without the framing.
+
+    ``is_shed`` tells that the run failed because a call made for it was refused for want of room.
+    """
 
     status: int
     head_lines: bytes
     body: bytes
+    is_shed: bool = False
 
 
 ForwardOutcome = TargetAnswer | NotRun | Unknown
--- a/src/jacinthsail/internal/queries/backlog.py
+++ b/src/jacinthsail/internal/queries/backlog.py
@@ -40,6 +40,14 @@
 LATE_SHARE_TO_LOWER = 0.35
 LATE_SHARE_TO_RAISE = 0.25
 
+# Runs that fail for want of room further on have used the services before it for nothing, so fewer
+# of them are accepted than of late answers. A few occur while single nodes restart.
+SHED_SHARE_TO_LOWER = 0.1
+SHED_SHARE_TO_RAISE = 0.05
+
+# With fewer calls than this for a request, another run of it costs no other service anything.
+LEAF_CALLS_PER_RUN = 0.1
+
 # Slots that new requests keep in any case, so that the limit notices when the target recovers.
 MIN_NEW_SHARE = 0.1
 
@@ -54,6 +62,8 @@
         lowered_at=float("-inf"),
         mean_s=INITIAL_MEAN_S,
         late_share=0.0,
+        shed_share=0.0,
+        calls_per_run=0.0,
     )
 
 
@@ -79,7 +89,8 @@
     backlog: BacklogState, repeats: RepeatState, forward: Forward, now: float
 ) -> BacklogDecision:
     """Return what becomes of a request that arrives, within the budget of repeats."""
-    if not is_within_budget(repeats, forward.repeat, forward.rank, now):
+    multiplies = backlog["lanes"][kind_of(forward.rank)]["calls_per_run"] > LEAF_CALLS_PER_RUN
+    if not is_within_budget(repeats, forward.repeat, forward.rank, multiplies, now):
         return Reject(Reason.RETRIES_SPENT, MIN_RETRY_AFTER_S)
     return decide_backlog(backlog, forward, now)
 
@@ -159,10 +170,24 @@
     the target is the bottleneck: then the work waits here, where nothing has run yet.
     """
     limit = lane["limit"]
-    if is_good and lane["late_share"] <= LATE_SHARE_TO_RAISE:
+    may_raise = lane["late_share"] <= LATE_SHARE_TO_RAISE
+    if is_good and may_raise and lane["shed_share"] <= SHED_SHARE_TO_RAISE:
         return min(float(backlog["slots"]), limit + 1.0 / max(1.0, limit))
     if is_good or lane["late_share"] < LATE_SHARE_TO_LOWER:
         return limit
+    return lowered_limit(backlog, lane, now)
+
+
+def limit_after_shed(backlog: BacklogState, lane: Lane, now: float) -> float:
+    """Return the limit of a lane after a run that failed for want of room further on."""
+    if lane["shed_share"] < SHED_SHARE_TO_LOWER:
+        return lane["limit"]
+    return lowered_limit(backlog, lane, now)
+
+
+def lowered_limit(backlog: BacklogState, lane: Lane, now: float) -> float:
+    """Return the next lower limit of a lane, unless it was lowered a moment ago."""
+    limit = lane["limit"]
     if now - lane["lowered_at"] < LOWERING_INTERVAL_S:
         return limit
     # Slots that are free say nothing of a lower limit, so it starts from those in use.
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -22,8 +22,9 @@
 FAILING_WEIGHT = 0.08
 FAILING_HALF_LIFE_S = 2.0
 
-# A node that stops is away for at least this long; one that has started again says so itself.
-DRAINING_PERIOD_S = 3.0
+# A node says that it stops half a second before it closes its ports, and a restart takes about a
+# second. Calls that come too early are refused without having run.
+DRAINING_PERIOD_S = 1.5
 
 # Smaller shares change no choice.
 FAILING_IGNORED = 0.01
--- a/src/jacinthsail/internal/queries/lineage.py
+++ b/src/jacinthsail/internal/queries/lineage.py
@@ -10,6 +10,18 @@
 RANKS_PER_PRIORITY = 2
 
 
+def new_parent(request_id: str, ticket: int, rank: int, is_repeat: bool) -> RunningParent:
+    """Return the entry of a request for which the target has made no call yet."""
+    return RunningParent(
+        request_id=request_id,
+        ticket=ticket,
+        rank=rank,
+        is_repeat=is_repeat,
+        calls=0,
+        is_shed=False,
+    )
+
+
 def rank_of_new(priority: int) -> int:
     """Return the rank of a request that no other one caused.
 
@@ -42,4 +54,4 @@
     """Return the rank of a request that arrives from this VM."""
     if parent is None:
         return rank_of_new(priority)
-    return rank_of_nested(parent.rank)
+    return rank_of_nested(parent["rank"])
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -36,6 +36,17 @@
 # The target itself was offered the request and said that it did not run it.
 REFUSED_BY_TARGET = frozenset({Reason.TARGET_REFUSED, Reason.TARGET_MISDIRECTED})
 
+# A service with more work than it can do refuses calls for one of these reasons.
+NO_ROOM_REASONS = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE_TOO_SHORT,
+        Reason.RETRIES_SPENT,
+        Reason.TARGET_REFUSED,
+        Reason.NO_TARGET,
+    }
+)
+
 
 @singledispatch
 def next_step(
@@ -50,7 +61,10 @@
 
 @next_step.register
 def _(outcome: TargetAnswer, exchange: Exchange, failing_elsewhere: float, now: float) -> NextStep:
-    if outcome.status in REPEATED_STATUSES and can_run_again(exchange, failing_elsewhere, now):
+    if outcome.status not in REPEATED_STATUSES or outcome.is_shed:
+        # Another run would meet the same lack of room.
+        return Deliver(outcome)
+    if can_run_again(exchange, failing_elsewhere, now):
         return SendAgain(Reason.TARGET_ANSWERED, Repeat.RUN)
     return Deliver(outcome)
 
--- a/src/jacinthsail/internal/queries/repeats.py
+++ b/src/jacinthsail/internal/queries/repeats.py
@@ -16,12 +16,19 @@
 USED_SHARE = 0.7
 
 # A request that runs again makes its calls again, which count as repeats of the services behind, so
-# such repeats may use only this part. It covers failures of 2% of the requests.
+# repeats of such requests may use only this part. It covers failures of 2% of the requests.
 RUN_SHARE = 0.12
 
-# Part that offers of requests of each priority may use; the last one holds for all others. While
-# more requests are turned away than the budget can mend, it is spent where it matters most.
-OFFER_SHARE_OF_PRIORITY = (1.0, 1.0, 0.1)
+# Requests up to this priority may use the whole budget. While more requests fail than the budget
+# can mend, it is spent where it matters most.
+LAST_IMPORTANT_PRIORITY = 1
+
+# Part that other requests may use while no important one needs a repeat. The rest is for important
+# ones at the beginning of a fault.
+OTHER_SHARE = 0.6
+
+# The rate at which important requests need repeats is taken over this many buckets.
+RATE_BUCKETS = 2
 
 # A target with few requests may still get a repeat in each window.
 MIN_REPEATS = 1.0
@@ -29,7 +36,7 @@
 
 def new_repeats() -> RepeatState:
     """Return the counts of a node that has just started; its budget is set when it is known."""
-    return RepeatState(firsts={}, repeats={}, ratio=0.0, window_s=10.0, extra=0.0)
+    return RepeatState(firsts={}, repeats={}, wanted={}, ratio=0.0, window_s=10.0, extra=0.0)
 
 
 def bucket_of(repeats: RepeatState, now: float) -> int:
@@ -37,22 +44,41 @@
     return int(now * BUCKETS_PER_WINDOW / repeats["window_s"])
 
 
-def is_within_budget(repeats: RepeatState, kind: Repeat, rank: int, now: float) -> bool:
-    """Tell whether one more arrival fits the budget; only new repeats are ever refused."""
-    if kind is Repeat.NONE or kind is Repeat.INHERITED:
+def is_within_budget(
+    repeats: RepeatState, kind: Repeat, rank: int, multiplies: bool, now: float
+) -> bool:
+    """Tell whether one more arrival fits the budget; only new repeats are ever refused.
+
+    ``multiplies`` tells that the target makes calls for such a request, which another run would
+    make again.
+    """
+    if not is_new_repeat(kind):
         return True
-    share = USED_SHARE * share_of(kind, rank)
     newest = bucket_of(repeats, now)
     sent = between(repeats["repeats"], newest - BUCKETS_PER_WINDOW, newest)
-    return sent + 1 <= max(MIN_REPEATS, share * allowed_repeats(repeats, newest))
+    usable = USED_SHARE * allowed_repeats(repeats, newest)
+    if kind is Repeat.RUN and multiplies:
+        return sent + 1 <= max(MIN_REPEATS, RUN_SHARE * usable)
+    if is_important(rank):
+        return sent + 1 <= max(MIN_REPEATS, usable)
+    reserved = min(usable, reserved_repeats(repeats, newest))
+    return sent + 1 <= min(usable - reserved, OTHER_SHARE * usable)
+
+
+def is_new_repeat(kind: Repeat) -> bool:
+    """Tell whether an arrival is a repeat that may be refused."""
+    return kind is Repeat.OFFER or kind is Repeat.RUN
+
+
+def is_important(rank: int) -> bool:
+    """Tell whether a request may use the whole budget."""
+    return priority_of_rank(rank) <= LAST_IMPORTANT_PRIORITY
 
 
-def share_of(kind: Repeat, rank: int) -> float:
-    """Return the part of the used budget that a kind of repeat of a rank may fill."""
-    if kind is Repeat.RUN:
-        return RUN_SHARE
-    place = min(priority_of_rank(rank), len(OFFER_SHARE_OF_PRIORITY) - 1)
-    return OFFER_SHARE_OF_PRIORITY[place]
+def reserved_repeats(repeats: RepeatState, newest: int) -> float:
+    """Return the repeats that important requests will need in a window at their present rate."""
+    recent = between(repeats["wanted"], newest - RATE_BUCKETS + 1, newest)
+    return recent * BUCKETS_PER_WINDOW / RATE_BUCKETS
 
 
 def allowed_repeats(repeats: RepeatState, newest: int) -> float:
--- a/tests/fast/test_backlog.py
+++ b/tests/fast/test_backlog.py
@@ -10,6 +10,7 @@
     put_in_queue,
     record_duration,
     record_end,
+    record_shed,
     record_start,
     set_target_leaving,
 )
@@ -96,6 +97,28 @@
             record_duration(state, forward(rank=3), 0.45 if is_late else 0.1, number * 0.05)
         self.assertEqual(state["lanes"][WorkKind.NEW]["limit"], 20.0)
 
+    def test_runs_that_fail_for_want_of_room_hold_new_requests_back(self):
+        """Chains that fail at their last call would keep other services busy for nothing."""
+        state = full(slots=20)
+        lane = state["lanes"][WorkKind.NEW]
+        lane["in_flight"] = 20
+        for number in range(60):
+            record_duration(state, forward(rank=3), 0.1, number * 0.2)
+            record_shed(state, forward(rank=3), number * 0.2 + 0.1)
+        self.assertEqual(lane["limit"], 2.0)
+        for number in range(600):
+            record_duration(state, forward(rank=3), 0.1, 12.0 + number * 0.01)
+        self.assertEqual(lane["limit"], 20.0)
+
+    def test_a_few_runs_without_room_change_nothing(self):
+        """One node that restarts must not close the services before it."""
+        state = full(slots=20)
+        for number in range(400):
+            if number % 40 == 0:
+                record_shed(state, forward(rank=3), number * 0.05)
+            record_duration(state, forward(rank=3), 0.1, number * 0.05)
+        self.assertEqual(state["lanes"][WorkKind.NEW]["limit"], 20.0)
+
     def test_nested_calls_do_not_wait_behind_held_back_requests(self):
         """Work that is nearly done would be lost behind work that has not begun."""
         state = full(slots=4)
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -39,6 +39,7 @@
 
 OK = TargetAnswer(200, b"", b"x")
 FAILED = TargetAnswer(500, b"", b"")
+SHED = TargetAnswer(500, b"", b"", is_shed=True)
 
 
 class RoutesTest(unittest.TestCase):
@@ -177,6 +178,11 @@
         """A second run would fail too and take the repeats of the services behind."""
         self.assertEqual(next_step(FAILED, exchange(), 0.5, 0.1), Deliver(FAILED))
 
+    def test_run_without_room_further_on_is_not_repeated(self):
+        """Another run would make all its calls again and meet the same full service."""
+        shed = FAILED._replace(is_shed=True)
+        self.assertEqual(next_step(shed, exchange(), 0.0, 0.1), Deliver(shed))
+
     def test_at_most_once_request_is_never_sent_again_after_it_may_have_run(self):
         """A filing or a charge would run twice."""
         request = exchange(route(execution=Execution.AT_MOST_ONCE))
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -271,13 +271,24 @@
             probe = CallerStandIn()
             await probe.connect(world.host(busy), READY_PORT)
             self.assertEqual((await probe.ask("/-/ready", "")).status, 503)
-            answer = await caller.ask("/lookup/x", "r-2")
-            self.assertEqual(answer.body, f"i-{5 - busy} ran r-2".encode())
             loop = asyncio.get_running_loop()
             started = loop.time()
+            await world.until(lambda: world.nodes[busy].backlog["stopped"])
+            answer = await caller.ask("/lookup/x", "r-2")
+            self.assertEqual(answer.body, f"i-{5 - busy} ran r-2".encode())
             await stopping
             self.assertLess(loop.time() - started, 4.0)
 
+    async def test_target_of_a_stopping_node_is_used_until_its_ports_close(self):
+        """A rolling restart would leave the slots of each target unused for seconds."""
+        async with World() as world:
+            caller = await self.fleet(world, sleeping(0.0))
+            stopping = asyncio.ensure_future(world.nodes[2].stop())
+            await world.until(lambda: world.nodes[2].is_leaving)
+            self.assertEqual((await caller.ask("/lookup/x", "r-1")).status, 200)
+            self.assertFalse(world.nodes[2].backlog["stopped"])
+            await stopping
+
     async def test_fault_of_the_node_is_answered_and_logged(self):
         """A caller would wait for its whole time, and nobody would learn of the fault."""
         async with World() as world:
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -56,6 +56,7 @@
         ),
     ),
     ForwardReply(9, TargetAnswer(200, b"A: b\r\n", b"body"), LoadReport(3, 4, 5, 0.25, 0.5)),
+    ForwardReply(10, TargetAnswer(500, b"", b"", True), LoadReport(3, 4, 5, 0.25, 0.5)),
     ForwardReply(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LoadReport(3, 4, 5, 0.25, 0.5)),
     ForwardReply(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LoadReport(3, 4, 5, 0.25, 0.5)),
     Ping(),
