Count targets that time out as slow, and replace answers that are overdue

They answered 504 at the route's timeout, which counted neither as a failure of the target nor as a duration, so the nodes beside them kept sending them all requests of their failure domain. A target that loses an answer held its slot and the caller until the deadline.

Change: an answer 504 of a target counts as a duration and against the target, unless the deadline came sooner than its answers usually do. A repeatable request without an answer after 7 times the mean is run again within the budget, once the mean is known from 60 answers. Statuses and the Retry-After of an unreachable target are defined once.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -59,6 +59,7 @@
 )
 from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.repeats import Repeat
+from jacinthsail.internal.model.statuses import STATUS_TIMEOUT
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.lineage import parent_of, rank_on_arrival
 from jacinthsail.internal.queries.manifest_routes import decide_entry
@@ -66,8 +67,8 @@
     NO_ROOM_REASONS,
     REFUSED_BY_TARGET,
     REPEATED_STATUSES,
-    STATUS_TIMEOUT,
     after_not_run,
+    is_fault_of_target,
     is_repeatable,
     next_step,
 )
@@ -319,11 +320,9 @@
 
 @_record.register
 def _(outcome: TargetAnswer, opened: OpenRequest, incarnation: str, now: float) -> None:
-    failed = outcome.status in REPEATED_STATUSES
-    if failed:
+    if outcome.status in REPEATED_STATUSES:
         record_failed_answer(opened.exchange, outcome)
-    # The target is not at fault when a service behind it has no room.
-    record_target_outcome(opened.entry.fleet, incarnation, failed and not outcome.is_shed, now)
+    record_target_outcome(opened.entry.fleet, incarnation, is_fault_of_target(outcome), now)
     record_failure(opened.exchange, may_have_run=True)
 
 
--- a/src/jacinthsail/internal/adapters/headers.py
+++ b/src/jacinthsail/internal/adapters/headers.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason, Unknown
+from jacinthsail.internal.model.statuses import STATUS_NOT_RUN
 
 REQUEST_ID = "Jacinthsail-Request-Id"
 DEADLINE_MS = "Jacinthsail-Deadline-Ms"
@@ -22,7 +23,6 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
-STATUS_NOT_RUN = 503
 STATUS_UNKNOWN_CLASS = 404
 STATUS_UNKNOWN = 504
 
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -20,7 +20,7 @@
     record_shed,
     record_start,
 )
-from jacinthsail.internal.commands.lineage import add_parent, remove_parent
+from jacinthsail.internal.commands.lineage import add_parent, record_repeated_run, remove_parent
 from jacinthsail.internal.commands.repeats import note_demand, record_arrival
 from jacinthsail.internal.model.backlog import (
     BacklogState,
@@ -33,11 +33,17 @@
 from jacinthsail.internal.model.exchange import Forward, ForwardOutcome, TargetAnswer
 from jacinthsail.internal.model.lineage import LineageState, RunningParent
 from jacinthsail.internal.model.repeats import Repeat, RepeatState
+from jacinthsail.internal.model.statuses import STATUS_SERVER_ERROR
 from jacinthsail.internal.queries.backlog import (
+    MIN_OVERDUE_S,
+    RETRY_AFTER_UNREACHABLE_S,
     decide_arrival,
     expired_waiting,
+    is_answer_overdue,
     kind_of,
+    makes_calls,
     next_waiting,
+    tells_duration,
 )
 from jacinthsail.internal.queries.lineage import new_parent
 from jacinthsail.internal.queries.repeats import is_within_budget
@@ -54,14 +60,16 @@
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 5.0
 
+# Runs are checked this often for answers that are probably lost, while there are any.
+OVERDUE_INTERVAL_S = 0.05
+
+# A request whose answers get lost again and again is left to its deadline after so many runs.
+MAX_RUNS = 2
+
 # A request that must not run twice is lost when its connection was dropped in the meantime, so it
 # uses only connections that were in use a moment ago.
 FRESH_IDLE_S = 1.0
 
-RETRY_AFTER_UNREACHABLE_S = 0.3
-
-STATUS_SERVER_ERROR = 500
-
 # Times that one request is offered to the target while it turns requests away, and the pause before
 # each further one, which grows so that a target that is really full has time to empty its queue.
 MAX_OFFERS = 7
@@ -100,6 +108,7 @@
         "parent",
         "deadline",
         "offers",
+        "runs",
     )
 
     def __init__(self, target: "OwnTarget", forward: Forward, on_outcome: OnOutcome) -> None:
@@ -113,6 +122,7 @@
         self.parent: RunningParent | None = None
         self.deadline = 0.0
         self.offers = 0
+        self.runs = 1
 
     def cancel(self) -> None:
         """Drop a request that waits; stop one that runs if it may be run again."""
@@ -143,6 +153,8 @@
         self.queued: dict[int, RunningForward] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.expiry: asyncio.TimerHandle | None = None
+        self.at_target: dict[RunningForward, None] = {}
+        self.overdue_check: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
         self.opened = 0
 
@@ -224,6 +236,41 @@
         )
         running.deadline = deadline
         record_arrival(self.repeats, running.forward.repeat, now)
+        self.at_target[running] = None
+        if self.overdue_check is None:
+            self.overdue_check = self.loop.call_later(OVERDUE_INTERVAL_S, self._check_overdue)
+        self._offer(running)
+
+    def _check_overdue(self) -> None:
+        """Run requests again whose answers are probably lost."""
+        self.overdue_check = None
+        now = self.loop.time()
+        for running in list(self.at_target):
+            if now - running.started_at < MIN_OVERDUE_S:
+                continue
+            self._run_again_if_overdue(running, now)
+        if self.at_target:
+            self.overdue_check = self.loop.call_later(OVERDUE_INTERVAL_S, self._check_overdue)
+
+    def _run_again_if_overdue(self, running: RunningForward, now: float) -> None:
+        forward = running.forward
+        connection = running.connection
+        if connection is None or connection.in_message or running.runs >= MAX_RUNS:
+            return
+        if not is_answer_overdue(self.backlog, forward, running.started_at, running.deadline, now):
+            return
+        note_demand(self.repeats, Repeat.RUN, forward.rank, now)
+        multiplies = makes_calls(self.backlog, forward.rank)
+        if not is_within_budget(self.repeats, Repeat.RUN, forward.rank, multiplies, now):
+            return
+        self._log("answer overdue", running, Reason.ANSWER_OVERDUE, now)
+        record_arrival(self.repeats, Repeat.RUN, now)
+        if running.parent is not None:
+            record_repeated_run(running.parent)
+        running.runs += 1
+        running.connection = None
+        running.started_at = now
+        connection.abort()
         self._offer(running)
 
     def _offer(self, running: RunningForward) -> None:
@@ -232,9 +279,9 @@
         running.offers += 1
         connection = self._idle_connection(running.forward, self.loop.time())
         if connection is not None:
-            self._send(running, connection, running.deadline)
+            self._send(running, connection)
             return
-        task = self.loop.create_task(self._connect(running, running.deadline))
+        task = self.loop.create_task(self._connect(running))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -259,7 +306,7 @@
             return connection
         return None
 
-    async def _connect(self, running: RunningForward, deadline: float) -> None:
+    async def _connect(self, running: RunningForward) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self.loop.create_connection(
@@ -276,14 +323,12 @@
             # The request was given up meanwhile; the connection serves the next one.
             self._on_free(connection)
             return
-        self._send(running, connection, deadline)
+        self._send(running, connection)
 
-    def _send(
-        self, running: RunningForward, connection: HttpClientConnection, deadline: float
-    ) -> None:
+    def _send(self, running: RunningForward, connection: HttpClientConnection) -> None:
         forward = running.forward
         running.connection = connection
-        remaining_s = deadline - self.loop.time()
+        remaining_s = running.deadline - self.loop.time()
         connection.send(
             self.dialect.encode(forward, remaining_s),
             lambda result: self._on_result(running, result),
@@ -312,9 +357,10 @@
         parent = running.parent
         if parent is not None:
             record_calls(self.backlog, running.forward, parent["calls"])
+        duration_s = now - running.started_at
+        if tells_duration(self.backlog, running.forward, answer.status, duration_s):
+            record_duration(self.backlog, running.forward, duration_s, now)
         if answer.status < STATUS_SERVER_ERROR:
-            # A target that fails at once must not look fast.
-            record_duration(self.backlog, running.forward, now - running.started_at, now)
             return answer
         if parent is None or not parent["is_shed"]:
             return answer
@@ -343,6 +389,7 @@
             return
         running.timer.cancel()
         running.timer = None
+        self.at_target.pop(running, None)
         if running.parent is not None:
             remove_parent(self.lineage, running.parent)
         if running.connection is not None and running.connection.on_result is not None:
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -25,7 +25,7 @@
     Pong,
 )
 from jacinthsail.internal.model.peers import TrafficState
-from jacinthsail.internal.queries.backlog import load_report
+from jacinthsail.internal.queries.backlog import RETRY_AFTER_UNREACHABLE_S, load_report
 
 _LOG = logging.getLogger("jacinthsail.peers")
 
@@ -40,8 +40,6 @@
 
 UPKEEP_S = 0.2
 
-RETRY_AFTER_UNREACHABLE_S = 0.3
-
 OnOutcome = Callable[[ForwardOutcome], None]
 OnLoad = Callable[[str, LoadReport], None]
 OnPeer = Callable[[str], None]
@@ -170,7 +168,6 @@
         """Replace a connection on which requests wait and nothing arrives."""
         if self.connection is None or not self.pending:
             return
-        since = max(self.connection.last_received, min(self.connection.last_used, now))
         silent_s = now - self.connection.last_received
         if silent_s < PING_AFTER_S:
             self.pinged_at = 0.0
@@ -183,7 +180,7 @@
             _LOG.warning(
                 "peer %s was silent for %.1f s with %d requests in flight; connection replaced",
                 self.host,
-                now - since,
+                silent_s,
                 len(self.pending),
             )
             self.connection.abort()
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -52,6 +52,10 @@
                 "New requests that may be at the own target",
                 backlog["lanes"][WorkKind.NEW]["limit"],
             ),
+            "new_shed_share": (
+                "Share of new requests that failed for want of room further on",
+                backlog["lanes"][WorkKind.NEW]["shed_share"],
+            ),
             "targets": ("Targets that are published", len(fleet["targets"])),
             "store_reads": ("Answered reads of the platform's store", reading["reads"]),
             "manifest_version": ("Version of the manifest in force", manifest_version(fleet)),
--- a/src/jacinthsail/internal/commands/backlog.py
+++ b/src/jacinthsail/internal/commands/backlog.py
@@ -53,6 +53,7 @@
     kind = kind_of(forward.rank)
     lane = backlog["lanes"][kind]
     lane["mean_s"] += MEAN_WEIGHT * (duration_s - lane["mean_s"])
+    lane["answers"] += 1
     if kind is WorkKind.NESTED:
         return
     is_good = is_good_time(forward, duration_s)
--- a/src/jacinthsail/internal/commands/lineage.py
+++ b/src/jacinthsail/internal/commands/lineage.py
@@ -19,6 +19,11 @@
     parent["is_shed"] = True
 
 
+def record_repeated_run(parent: RunningParent) -> None:
+    """Remember that a request runs once more, so that its calls count as repeats."""
+    parent["is_repeat"] = True
+
+
 def remove_parent(lineage: LineageState, parent: RunningParent) -> None:
     """Forget a request that left the own target, unless it was sent there again meanwhile."""
     if lineage["running"].get(parent["request_id"]) is parent:
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -27,6 +27,7 @@
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_REFUSED = "target-refused"
     INCOMPLETE_ANSWER = "incomplete-answer"
+    ANSWER_OVERDUE = "answer-overdue"
     RETRIES_SPENT = "retries-spent"
     KEY_REQUIRED = "key-required"
     KEY_MALFORMED = "key-malformed"
--- a/src/jacinthsail/internal/queries/backlog.py
+++ b/src/jacinthsail/internal/queries/backlog.py
@@ -14,6 +14,7 @@
 from jacinthsail.internal.model.exchange import Forward
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.repeats import RepeatState
+from jacinthsail.internal.model.statuses import STATUS_SERVER_ERROR, STATUS_TIMEOUT
 from jacinthsail.internal.queries.lineage import RANKS_PER_PRIORITY
 from jacinthsail.internal.queries.repeats import is_within_budget
 
@@ -24,6 +25,10 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
 
+# A node or a target that cannot be reached is known to everybody after one failed call, so a caller
+# that returns after this time is sent elsewhere.
+RETRY_AFTER_UNREACHABLE_S = 0.3
+
 # Requests that may wait, as a multiple of the slots; a bound for memory.
 MAX_WAITING_PER_SLOT = 20
 
@@ -48,6 +53,15 @@
 # With fewer calls than this for a request, another run of it costs no other service anything.
 LEAF_CALLS_PER_RUN = 0.1
 
+# An answer that takes this many times as long as the mean is probably lost; the durations of one
+# kind of request vary by a factor of about 6. The minimum covers pauses of the target.
+OVERDUE_FACTOR = 7.0
+MIN_OVERDUE_S = 0.15
+
+# After a start the mean follows the target only after so many answers. Every request would be taken
+# for overdue before, while the targets may be cold as well.
+MIN_ANSWERS = 60
+
 # Slots that new requests keep in any case, so that the limit notices when the target recovers.
 MIN_NEW_SHARE = 0.1
 
@@ -61,6 +75,7 @@
         limit=float(slots),
         lowered_at=float("-inf"),
         mean_s=INITIAL_MEAN_S,
+        answers=0,
         late_share=0.0,
         shed_share=0.0,
         calls_per_run=0.0,
@@ -89,12 +104,17 @@
     backlog: BacklogState, repeats: RepeatState, forward: Forward, now: float
 ) -> BacklogDecision:
     """Return what becomes of a request that arrives, within the budget of repeats."""
-    multiplies = backlog["lanes"][kind_of(forward.rank)]["calls_per_run"] > LEAF_CALLS_PER_RUN
+    multiplies = makes_calls(backlog, forward.rank)
     if not is_within_budget(repeats, forward.repeat, forward.rank, multiplies, now):
         return Reject(Reason.RETRIES_SPENT, MIN_RETRY_AFTER_S)
     return decide_backlog(backlog, forward, now)
 
 
+def makes_calls(backlog: BacklogState, rank: int) -> bool:
+    """Tell whether the target calls other services for requests of a kind."""
+    return backlog["lanes"][kind_of(rank)]["calls_per_run"] > LEAF_CALLS_PER_RUN
+
+
 def decide_backlog(backlog: BacklogState, forward: Forward, now: float) -> BacklogDecision:
     """Return whether a request starts, waits or is rejected.
 
@@ -200,6 +220,35 @@
     return duration_s <= GOOD_SHARE * forward.good_within_s
 
 
+def tells_duration(backlog: BacklogState, forward: Forward, status: int, duration_s: float) -> bool:
+    """Tell whether an answer says how long the target takes.
+
+    A target that fails at once must not look fast. One that reaches the deadline would have taken
+    even longer, unless the deadline came sooner than its answers usually do.
+    """
+    if status < STATUS_SERVER_ERROR:
+        return True
+    lane = backlog["lanes"][kind_of(forward.rank)]
+    return status == STATUS_TIMEOUT and duration_s >= lane["mean_s"]
+
+
+def is_answer_overdue(
+    backlog: BacklogState, forward: Forward, started_at: float, deadline: float, now: float
+) -> bool:
+    """Tell whether the answer to a request is probably lost, while another run could still answer.
+
+    A target that ran a request and whose answer was lost says nothing. The request would keep its
+    slot here until its deadline, and so would the request that it was made for.
+    """
+    lane = backlog["lanes"][kind_of(forward.rank)]
+    if not forward.repeatable or lane["answers"] < MIN_ANSWERS:
+        return False
+    mean_s = lane["mean_s"]
+    if now - started_at < max(MIN_OVERDUE_S, OVERDUE_FACTOR * mean_s):
+        return False
+    return deadline - now > mean_s
+
+
 def load_report(backlog: BacklogState) -> LoadReport:
     """Return what other nodes are told of the queue."""
     new = backlog["lanes"][WorkKind.NEW]
--- a/src/jacinthsail/internal/queries/manifest_routes.py
+++ b/src/jacinthsail/internal/queries/manifest_routes.py
@@ -9,6 +9,7 @@
 )
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.manifest import Manifest, RouteIndex, RoutePolicy
+from jacinthsail.internal.model.statuses import STATUS_NOT_RUN
 
 # Multiples of this fraction spread evenly over [0, 1), however many of them are taken.
 GOLDEN_FRACTION = 0.6180339887498949
@@ -20,7 +21,6 @@
 MIN_TIME_LEFT_S = 0.005
 
 STATUS_NOT_FOUND = 404
-STATUS_NOT_RUN = 503
 
 
 def index_of_routes(manifest: Manifest) -> RouteIndex:
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -13,13 +13,15 @@
     TargetAnswer,
 )
 from jacinthsail.internal.model.repeats import Repeat
-
-STATUS_BAD_GATEWAY = 502
-STATUS_NOT_RUN = 503
-STATUS_TIMEOUT = 504
+from jacinthsail.internal.model.statuses import (
+    STATUS_BAD_GATEWAY,
+    STATUS_NOT_RUN,
+    STATUS_SERVER_ERROR,
+    STATUS_TIMEOUT,
+)
 
 # Statuses of a target that another target may turn into a success.
-REPEATED_STATUSES = frozenset({500, 502, 503})
+REPEATED_STATUSES = frozenset({STATUS_SERVER_ERROR, STATUS_BAD_GATEWAY, STATUS_NOT_RUN})
 
 # Another target needs about this share of the route's target latency to answer.
 MIN_REPEAT_SHARE = 0.1
@@ -90,6 +92,17 @@
     return GiveUp(STATUS_BAD_GATEWAY, outcome.reason, 0.0)
 
 
+def is_fault_of_target(answer: TargetAnswer) -> bool:
+    """Tell whether an answer speaks against the target.
+
+    A target that is too slow answers with a timeout of its own. It is not at fault when a service
+    behind it has no room.
+    """
+    if answer.is_shed:
+        return False
+    return answer.status in REPEATED_STATUSES or answer.status == STATUS_TIMEOUT
+
+
 def after_not_run(reason: Reason, exchange: Exchange, retry_after_s: float) -> NextStep:
     """Return the final answer when the last target did not run the request.
 
--- a/tests/fast/test_backlog.py
+++ b/tests/fast/test_backlog.py
@@ -19,9 +19,11 @@
 from jacinthsail.internal.queries.backlog import (
     decide_backlog,
     expired_waiting,
+    is_answer_overdue,
     kind_of,
     load_report,
     next_waiting,
+    tells_duration,
 )
 from tests.common.fleets import backlog, forward
 
@@ -130,6 +132,45 @@
         record_end(state, forward(rank=2))
         self.assertEqual(next_waiting(state), nested)
 
+    def test_answers_that_time_out_hold_new_requests_back(self):
+        """A target that became slow would look as fast as before and keep getting its share."""
+        state = full(slots=20)
+        lane = state["lanes"][WorkKind.NEW]
+        for status, duration_s, tells in ((500, 0.8, False), (504, 0.8, True), (504, 0.05, False)):
+            with self.subTest(status=status, duration_s=duration_s):
+                self.assertEqual(tells_duration(state, forward(rank=3), status, duration_s), tells)
+        lane["in_flight"] = 20
+        for number in range(60):
+            record_duration(state, forward(rank=3), 0.8, number * 0.2)
+        self.assertLess(lane["limit"], 5.0)
+
+    def test_lost_answer_is_noticed_long_before_the_deadline(self):
+        """A target that says nothing would hold a slot and the caller for the whole time left."""
+        state = backlog(mean_s=0.03)
+        for number in range(60):
+            record_duration(state, forward(rank=2), 0.03, number * 0.01)
+        for now, deadline, repeatable, is_overdue in (
+            (0.25, 1.0, True, True),
+            (0.2, 1.0, True, False),
+            (0.25, 0.27, True, False),
+            (0.25, 1.0, False, False),
+        ):
+            with self.subTest(now=now, deadline=deadline, repeatable=repeatable):
+                one = forward(rank=2, repeatable=repeatable)
+                self.assertEqual(is_answer_overdue(state, one, 0.0, deadline, now), is_overdue)
+
+    def test_slow_target_is_not_taken_for_one_that_loses_answers(self):
+        """Every call of a slow target would be run twice."""
+        state = backlog(mean_s=0.03)
+        for number in range(60):
+            record_duration(state, forward(rank=2), 0.3, number * 0.01)
+        self.assertFalse(is_answer_overdue(state, forward(rank=2), 0.0, 9.0, 1.0))
+
+    def test_nothing_is_overdue_before_the_usual_time_is_known(self):
+        """After a restart every request would be run twice while the targets are still cold."""
+        state = backlog(mean_s=0.03)
+        self.assertFalse(is_answer_overdue(state, forward(rank=2), 0.0, 9.0, 1.0))
+
     def test_expired_requests_are_found(self):
         """A request must not be held once it cannot be served."""
         state = full()
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -31,7 +31,7 @@
 from jacinthsail.internal.model.repeats import Repeat
 from jacinthsail.internal.queries.fleet_view import new_fleet
 from jacinthsail.internal.queries.manifest_routes import decide_entry, route_of
-from jacinthsail.internal.queries.next_steps import next_step
+from jacinthsail.internal.queries.next_steps import is_fault_of_target, next_step
 from jacinthsail.internal.queries.target_choice import choose_target
 from tests.common.fleets import PLACE, exchange, facts, fleet, route, target
 
@@ -178,6 +178,17 @@
         """A second run would fail too and take the repeats of the services behind."""
         self.assertEqual(next_step(FAILED, exchange(), 0.5, 0.1), Deliver(FAILED))
 
+    def test_slow_target_is_at_fault_and_one_before_a_full_service_is_not(self):
+        """Callers beside a slow target would go on asking it while others are idle."""
+        for status, is_shed, at_fault in (
+            (504, False, True),
+            (500, True, False),
+            (404, False, False),
+        ):
+            with self.subTest(status=status):
+                answer = TargetAnswer(status, b"", b"", is_shed)
+                self.assertEqual(is_fault_of_target(answer), at_fault)
+
     def test_run_without_room_further_on_is_not_repeated(self):
         """Another run would make all its calls again and meet the same full service."""
         shed = FAILED._replace(is_shed=True)
