Let the test of an unreachable VM end the nodes that would reach it

Cause: the test expected a new VM to report two reasons while the platform was down, but its peers were alive. A trace of the status page showed two reasons 1.0 s after the start, one at 1.6 s, when a peer had connected and passed its section on, and ready at 2.0 s. Under load the first status page came after the peer.

Change: the peers are ended first. Both reasons must also hold 2 s later, in which peers that live would have made the VM ready, so the test is stricter than before.

--- a/tests/slow/test_replication_path.py
+++ b/tests/slow/test_replication_path.py
@@ -12,6 +12,9 @@
 SAMPLES = Path(__file__).resolve().parents[2] / "samples"
 DRAFTS = (SAMPLES / "stenonet" / "drafts.toml").read_text()
 NEW_VM = "drafts-3"
+
+# Nodes that live reach a VM that is back within this time, and it would be ready then.
+UNREACHED_S = 2.0
 VMS = (
     MeshVm("drafts-1", "drafts", "manila", "luzon"),
     MeshVm("drafts-2", "drafts", "davao", "mindanao"),
@@ -30,10 +33,13 @@
         with urllib.request.urlopen(urllib.request.Request(url, data=body, method="POST")):
             pass
 
-    def restart_new_vm(self):
-        self.mesh.signal_process(NEW_VM, "node", signal.SIGKILL)
-        while self.mesh.exit_code(NEW_VM, "node") is None:
+    def kill_node(self, vm):
+        self.mesh.signal_process(vm, "node", signal.SIGKILL)
+        while self.mesh.exit_code(vm, "node") is None:
             time.sleep(0.05)
+
+    def restart_new_vm(self):
+        self.kill_node(NEW_VM)
         self.mesh.start_process(NEW_VM, "node")
 
     def status_once(self, vm, predicate, seconds=20.0):
@@ -60,10 +66,19 @@
     def test_new_vm_that_reaches_nothing_says_so(self):
         """An operator must see why a VM does not serve."""
         self.set_platform("down")
+        # Nodes that live open connections to a VM that is back and pass on what they know.
+        peers = ("drafts-1", "drafts-2")
+        for vm in peers:
+            self.kill_node(vm)
         self.restart_new_vm()
         status = self.status_once(NEW_VM, lambda status: True)
         self.assertFalse(status["ready"])
         self.assertEqual(len(status["not_ready_because"]), 2)
+        time.sleep(UNREACHED_S)
+        status = self.status_once(NEW_VM, lambda status: True)
+        self.assertEqual(len(status["not_ready_because"]), 2)
+        for vm in peers:
+            self.mesh.start_process(vm, "node")
         self.set_platform("normal")
         self.status_once(NEW_VM, lambda status: status["ready"])
 
