Give a target no work while the calls that it makes cannot be routed

A node without a manifest refused the calls of its own target as not ready, but other nodes kept sending requests to that target, and each of them failed at its first call.

Change: such a node refuses new work for its target as not run, from the first call that it cannot route until it has a manifest. Other nodes prefer other targets for 0.4 s and use it as the last choice.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -31,6 +31,7 @@
     advance_split,
     record_call_end,
     record_call_sent,
+    record_node_not_ready,
     record_node_stops,
     record_target_outcome,
     record_target_unreachable,
@@ -139,6 +140,10 @@
     ) -> RequestHandle | None:
         decision = decide_entry(self.fleet, facts, now)
         if isinstance(decision, AnswerHere):
+            is_nested = parent_of(self.lineage, facts.parent_id) is not None
+            if is_nested and decision.reason is Reason.NOT_READY:
+                # Whatever the target runs now fails at its first call.
+                self.own_target.block()
             log_request("refused", facts.request_id, decision.reason, now, status=decision.status)
             self.metrics.count("", decision.status, decision.reason, 0.0)
             head_lines = self.dialect.own_answer(facts, decision.status, decision.retry_after_s)
@@ -337,6 +342,8 @@
         record_target_unreachable(fleet, incarnation, now)
     if outcome.reason is Reason.DRAINING:
         record_node_stops(fleet, (incarnation,), now)
+    if outcome.reason is Reason.NOT_READY:
+        record_node_not_ready(fleet, incarnation, now)
     record_refusal(opened.exchange)
 
 
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -25,7 +25,12 @@
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.request_metrics import RequestMetrics
 from jacinthsail.internal.adapters.store_follower import StoreClient, StoreFollower
-from jacinthsail.internal.commands.backlog import set_slots, set_target_leaving, stop_new_work
+from jacinthsail.internal.commands.backlog import (
+    set_blocked,
+    set_slots,
+    set_target_leaving,
+    stop_new_work,
+)
 from jacinthsail.internal.commands.fleet import (
     record_load,
     record_node_started,
@@ -187,6 +192,7 @@
             self.own_target.refuse_waiting(Reason.DRAINING)
         manifest = self.fleet["manifest"]
         if manifest is not None:
+            set_blocked(self.backlog, False)
             self.callers_port.limits = ServerLimits(
                 manifest.limits.max_header_bytes,
                 min(MAX_BODY_BYTES, manifest.limits.max_body_bytes),
--- a/src/jacinthsail/internal/adapters/own_target.py
+++ b/src/jacinthsail/internal/adapters/own_target.py
@@ -1,6 +1,7 @@
 """Sends requests to the own target over HTTP, from the queue in front of it."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
@@ -19,9 +20,10 @@
     record_end,
     record_shed,
     record_start,
+    set_blocked,
 )
 from jacinthsail.internal.commands.lineage import add_parent, record_repeated_run, remove_parent
-from jacinthsail.internal.commands.repeats import note_demand, record_arrival
+from jacinthsail.internal.commands.repeats import record_arrival, record_demand
 from jacinthsail.internal.model.backlog import (
     BacklogState,
     Reject,
@@ -48,6 +50,8 @@
 from jacinthsail.internal.queries.lineage import new_parent
 from jacinthsail.internal.queries.repeats import is_within_budget
 
+_LOG = logging.getLogger("jacinthsail.target")
+
 CONNECT_TIMEOUT_S = 0.5
 
 # The target itself answers at the deadline that it was told; its answer needs some time to arrive.
@@ -162,7 +166,7 @@
         """Run a request now or later, or reject it; the callback gets its outcome once."""
         now = self.loop.time()
         running = RunningForward(self, forward, on_outcome)
-        note_demand(self.repeats, forward.repeat, forward.rank, now)
+        record_demand(self.repeats, forward.repeat, forward.rank, now)
         decision = decide_arrival(self.backlog, self.repeats, forward, now)
         if isinstance(decision, Reject):
             self._log("rejected", running, decision.reason, now)
@@ -220,6 +224,14 @@
             self._take_from_queue(running.waiting)
             self._settle(running, NotRun(reason, 0, RETRY_AFTER_UNREACHABLE_S))
 
+    def block(self) -> None:
+        """Refuse new work until this node can route the calls that the target makes for it."""
+        if self.backlog["blocked"]:
+            return
+        _LOG.warning("own target needs calls that cannot be routed yet; it gets no new work")
+        set_blocked(self.backlog, True)
+        self.refuse_waiting(Reason.NOT_READY)
+
     def _start(self, running: RunningForward, deadline: float) -> None:
         now = self.loop.time()
         record_start(self.backlog, running.forward)
@@ -259,7 +271,7 @@
             return
         if not is_answer_overdue(self.backlog, forward, running.started_at, running.deadline, now):
             return
-        note_demand(self.repeats, Repeat.RUN, forward.rank, now)
+        record_demand(self.repeats, Repeat.RUN, forward.rank, now)
         multiplies = makes_calls(self.backlog, forward.rank)
         if not is_within_budget(self.repeats, Repeat.RUN, forward.rank, multiplies, now):
             return
@@ -376,7 +388,7 @@
             return False
         if running.offers >= MAX_OFFERS or now + delay_s >= running.deadline:
             return False
-        note_demand(self.repeats, Repeat.OFFER, forward.rank, now)
+        record_demand(self.repeats, Repeat.OFFER, forward.rank, now)
         if not is_within_budget(self.repeats, Repeat.OFFER, forward.rank, False, now):
             return False
         record_arrival(self.repeats, Repeat.OFFER, now)
--- a/src/jacinthsail/internal/commands/backlog.py
+++ b/src/jacinthsail/internal/commands/backlog.py
@@ -99,6 +99,11 @@
     backlog["draining"] = leaving
 
 
+def set_blocked(backlog: BacklogState, blocked: bool) -> None:
+    """Stop or resume new work because the calls that it makes cannot be routed here."""
+    backlog["blocked"] = blocked
+
+
 def stop_new_work(backlog: BacklogState) -> None:
     """Take no new work any more because this node stops."""
     backlog["stopped"] = True
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -11,6 +11,7 @@
 from jacinthsail.internal.model.manifest import Manifest, RoutePolicy
 from jacinthsail.internal.queries.fleet_view import (
     DRAINING_PERIOD_S,
+    NOT_READY_PERIOD_S,
     by_service,
     failing_after,
     new_view,
@@ -119,6 +120,13 @@
             view["draining_until"] = now + DRAINING_PERIOD_S
 
 
+def record_node_not_ready(fleet: FleetState, incarnation: str, now: float) -> None:
+    """Prefer other targets for a moment to one whose node cannot route the target's calls yet."""
+    view = fleet["views"].get(incarnation)
+    if view is not None:
+        view["suspected_until"] = now + NOT_READY_PERIOD_S
+
+
 def record_node_started(fleet: FleetState, incarnations: Iterable[str]) -> None:
     """Use the targets of a node again that has introduced itself."""
     for incarnation in incarnations:
--- a/src/jacinthsail/internal/commands/repeats.py
+++ b/src/jacinthsail/internal/commands/repeats.py
@@ -16,7 +16,7 @@
     )
 
 
-def note_demand(repeats: RepeatState, kind: Repeat, rank: int, now: float) -> None:
+def record_demand(repeats: RepeatState, kind: Repeat, rank: int, now: float) -> None:
     """Count a repeat that an important request asks for."""
     if is_new_repeat(kind) and is_important(rank):
         _count(repeats["wanted"], bucket_of(repeats, now))
--- a/src/jacinthsail/internal/model/backlog.py
+++ b/src/jacinthsail/internal/model/backlog.py
@@ -49,7 +49,10 @@
 
 
 class BacklogState(TypedDict):
-    """Requests that wait or run at the own target; ``tickets`` holds those that wait."""
+    """Requests that wait or run at the own target; ``tickets`` holds those that wait.
+
+    ``blocked`` is set while the target needs calls that this node cannot route yet.
+    """
 
     slots: int
     in_flight: int
@@ -57,6 +60,7 @@
     tickets: dict[int, WaitingForward]
     next_ticket: int
     draining: bool
+    blocked: bool
     stopped: bool
 
 
--- a/src/jacinthsail/internal/queries/backlog.py
+++ b/src/jacinthsail/internal/queries/backlog.py
@@ -91,6 +91,7 @@
         tickets={},
         next_ticket=1,
         draining=False,
+        blocked=False,
         stopped=False,
     )
 
@@ -123,6 +124,8 @@
     """
     if backlog["stopped"] or backlog["draining"]:
         return Reject(Reason.DRAINING, MIN_RETRY_AFTER_S)
+    if backlog["blocked"]:
+        return Reject(Reason.NOT_READY, MIN_RETRY_AFTER_S)
     kind = kind_of(forward.rank)
     lane = backlog["lanes"][kind]
     if has_room(backlog, lane) and not lane["waiting"]:
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -26,6 +26,9 @@
 # second. Calls that come too early are refused without having run.
 DRAINING_PERIOD_S = 1.5
 
+# A node that has not read the store yet is ready some 10 ms after the store answers.
+NOT_READY_PERIOD_S = 0.4
+
 # Smaller shares change no choice.
 FAILING_IGNORED = 0.01
 
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -12,6 +12,7 @@
     put_target,
     record_call_sent,
     record_load,
+    record_node_not_ready,
     record_node_started,
     record_node_stops,
     record_target_outcome,
@@ -128,6 +129,14 @@
         request["tried"].add("tried")
         self.assertIsInstance(self.choose(state, request), NoTarget)
 
+    def test_target_of_a_node_without_manifest_is_the_last_choice(self):
+        """After an outage of the store calls would find no target while all nodes restarted."""
+        state = fleet(target("near", "10.0.0.2"), target("region", "10.0.1.1", "baguio"))
+        record_node_not_ready(state, "near", 0.0)
+        self.assertEqual(self.choose(state).entry.incarnation, "region")
+        record_node_stops(state, ("region",), 0.0)
+        self.assertEqual(self.choose(state).entry.incarnation, "near")
+
     def test_failures_that_all_targets_share_keep_calls_nearby(self):
         """While a whole service fails, calls to other regions would cost bytes and gain nothing."""
         state = fleet(target("near", "10.0.0.2"), target("far", "10.0.2.1", "davao", "mindanao"))
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -1,6 +1,7 @@
 """Guards the path of a request over two nodes, against stand-ins of the platform."""
 
 import asyncio
+import itertools
 import unittest
 
 from jacinthsail.internal.adapters.http_client import Broken
@@ -208,6 +209,42 @@
             self.assertEqual(answer.status, 200)
             self.assertIn(0, ranks)
 
+    async def test_target_whose_calls_cannot_be_routed_gets_no_new_work(self):
+        """A node that restarts while the store is away would fail all chains through its target."""
+
+        async def answer_after_call(target, request, respond):
+            nested = await world.caller(2)
+            name = header_of(request, b"x-attempt-id")
+            answer = await nested.ask("/brief/x", f"{name}.call")
+            respond(target.answer(request, status=500 if answer.status == 503 else 200))
+
+        def calls_back(target, request, respond):
+            if header_of(request, b"x-attempt-id").endswith(".call"):
+                respond(target.answer(request))
+                return
+            self.call = asyncio.ensure_future(answer_after_call(target, request, respond))
+
+        async with World() as world:
+            await world.add_target(2, TargetStandIn("i-2", calls_back))
+            await world.add_node(1)
+            await world.until_known(1)
+            world.store.status = 503
+            node = await world.add_node(2, service="seals")
+            caller = await world.caller(1)
+            self.assertEqual((await caller.ask("/lookup/x", "r-1")).status, 500)
+            self.assertEqual((await caller.ask("/lookup/x", "r-2")).status, 503)
+            self.assertEqual(len(world.targets[2].runs), 1)
+            world.store.status = 200
+            await world.until(lambda: not node.backlog["blocked"])
+
+            async def served():
+                return (await caller.ask("/lookup/x", f"r-{next(numbers)}")).status == 200
+
+            numbers = itertools.count(3)
+            async with asyncio.timeout(10.0):
+                while not await served():
+                    await asyncio.sleep(0.1)
+
     async def test_leaving_target_gets_no_new_work(self):
         """A target would be stopped with requests in flight."""
         async with World() as world:
--- a/tests/fast/test_repeat_budget.py
+++ b/tests/fast/test_repeat_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jacinthsail.internal.commands.repeats import note_demand, record_arrival
+from jacinthsail.internal.commands.repeats import record_arrival, record_demand
 from jacinthsail.internal.model.backlog import Reject
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.repeats import Repeat
@@ -35,7 +35,7 @@
         inherited = []
         for gap_s, kind, rank, multiplies in events:
             now += gap_s
-            note_demand(state, kind, rank, now)
+            record_demand(state, kind, rank, now)
             if not is_within_budget(state, kind, rank, multiplies, now):
                 continue
             record_arrival(state, kind, now)
@@ -71,7 +71,7 @@
         """While a service turns half of its requests away, lookups would use up the repeats."""
         state = repeats(extra=20.0)
         for number in range(20):
-            note_demand(state, Repeat.OFFER, 0, 0.05 * number)
+            record_demand(state, Repeat.OFFER, 0, 0.05 * number)
         self.assertFalse(is_within_budget(state, Repeat.OFFER, 5, False, 1.0))
         self.assertTrue(is_within_budget(state, Repeat.OFFER, 0, False, 1.0))
 
