Name the parent of a call that is refused at its entry

Change: the line names the request that the call was made for.

Result: the new check in the test of blocked targets fails without the change and passes with it. Not played on the platform; only the log line changes.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -140,11 +140,18 @@
     ) -> RequestHandle | None:
         decision = decide_entry(self.fleet, facts, now)
         if isinstance(decision, AnswerHere):
-            is_nested = parent_of(self.lineage, facts.parent_id) is not None
-            if is_nested and decision.reason is Reason.NOT_READY:
+            parent = parent_of(self.lineage, facts.parent_id)
+            if parent is not None and decision.reason is Reason.NOT_READY:
                 # Whatever the target runs now fails at its first call.
                 self.own_target.block()
-            log_request("refused", facts.request_id, decision.reason, now, status=decision.status)
+            log_request(
+                "refused",
+                facts.request_id,
+                decision.reason,
+                now,
+                status=decision.status,
+                parent="" if parent is None else parent["request_id"],
+            )
             self.metrics.count("", decision.status, decision.reason, 0.0)
             head_lines = self.dialect.own_answer(facts, decision.status, decision.retry_after_s)
             respond(HttpResponse(decision.status, head_lines, b""))
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -231,7 +231,11 @@
             world.store.status = 503
             node = await world.add_node(2, service="seals")
             caller = await world.caller(1)
-            self.assertEqual((await caller.ask("/lookup/x", "r-1")).status, 500)
+            with self.assertLogs("jacinthsail.decisions", "INFO") as logged:
+                self.assertEqual((await caller.ask("/lookup/x", "r-1")).status, 500)
+            lines = [record.request_line for record in logged.records]
+            # Without the parent nobody finds this line from the id of the lookup.
+            self.assertIn("r-1", [line["parent"] for line in lines if "parent" in line])
             self.assertEqual((await caller.ask("/lookup/x", "r-2")).status, 503)
             self.assertEqual(len(world.targets[2].runs), 1)
             world.store.status = 200
