--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -182,8 +182,13 @@
         """Write a message; does nothing if the connection is closed."""
         if self.transport is None:
             return
-        frame = encode_frame(message)
-        if is_control(message):
+        self.send_frame(encode_frame(message), is_control(message), call_id)
+
+    def send_frame(self, frame: bytes, is_control_frame: bool, call_id: int = 0) -> None:
+        """Write an encoded message, which may be shared with other connections."""
+        if self.transport is None:
+            return
+        if is_control_frame:
             self.traffic["control_bytes_sent"] += len(frame)
         if self.is_paused:
             self.unsent.append(UnsentFrame(call_id, frame))
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -24,6 +24,7 @@
 from jacinthsail.internal.adapters.local_target import LocalTarget, TargetDialect
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.request_metrics import RequestMetrics
+from jacinthsail.internal.adapters.store_exchange import StoreExchange
 from jacinthsail.internal.adapters.store_follower import StoreClient, StoreFollower
 from jacinthsail.internal.commands.fleet import (
     record_load,
@@ -50,7 +51,9 @@
     targets_on_host,
 )
 from jacinthsail.internal.queries.retry_budget import new_retry_budget
+from jacinthsail.internal.queries.store_copy import new_store_copy
 from jacinthsail.internal.queries.store_reading import new_read_state
+from jacinthsail.internal.queries.store_sources import new_store_sources
 from jacinthsail.internal.queries.target_queue import new_target_queue
 
 _LOG = logging.getLogger("jacinthsail.node")
@@ -119,6 +122,11 @@
         self.is_draining = False
         self.fleet = new_fleet(settings.location)
         self.reading = new_read_state()
+        self.copy = new_store_copy()
+        self.sources = new_store_sources()
+        self.exchange = StoreExchange(
+            self.copy, self.reading, self.sources, self.fleet, Random(f"{incarnation} exchange")
+        )
         self.target_queue = new_target_queue(INITIAL_SLOTS)
         self.retry_budget = new_retry_budget()
         self.lineage = LineageState(running={}, next_ticket=1)
@@ -139,6 +147,7 @@
             self._on_load,
             self._on_peer_started,
             self._on_peer_draining,
+            self.exchange,
         )
         self.metrics = RequestMetrics()
         self.router = RequestRouter(
@@ -157,12 +166,15 @@
         follower = StoreFollower(
             self.dialects.store,
             self.reading,
+            self.copy,
             self.fleet,
+            self.exchange,
             Random(f"{incarnation} store"),
             self.apply_published,
         )
-        await self.add_runtime_dependency(follower)
         await self.links.listen(settings.peers.host)
+        follower.share_with(self.links)
+        await self.add_runtime_dependency(follower)
         await self.readiness_port.listen(settings.readiness.host, settings.readiness.port)
         await self.metrics_port.listen(settings.metrics.host, settings.metrics.port)
         await self.callers_port.listen(settings.callers.host, settings.callers.port)
@@ -215,7 +227,9 @@
     def _serve_metrics(
         self, request: HttpRequest, respond: ResponseCallback
     ) -> RequestHandle | None:
-        content, headers = self.metrics.page(self.fleet, self.target_queue, self.reading)
+        content, headers = self.metrics.page(
+            self.fleet, self.target_queue, self.reading, self.sources
+        )
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         respond(HttpResponse(200, lines.encode("ascii"), content))
         return None
@@ -281,6 +295,7 @@
 
     async def on_shutdown(self) -> None:
         """Close every port and connection."""
+        self.exchange.close()
         self.links.close()
         self.local_target.close()
         for port in (self.callers_port, self.readiness_port, self.metrics_port):
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -46,6 +46,13 @@
   newWaitMs @4 :UInt32;
 }
 
+struct PublishedItem {
+  key @0 :Text;
+  revision @1 :UInt64;
+  isRemoved @2 :Bool;
+  compressedBody @3 :Data;
+}
+
 struct Message {
   union {
     hello :group {
@@ -93,5 +100,19 @@
     forwardReply @23 :Data;
     ping @24 :Void;
     pong @25 :Load;
+    followStore :group {
+      knownRevision @26 :UInt64;
+    }
+    unfollowStore @27 :Void;
+    storeReport :group {
+      items @28 :List(PublishedItem);
+      # Revision that the receiver must have; 0 with a snapshot.
+      after @29 :UInt64;
+      revision @30 :UInt64;
+      isSnapshot @31 :Bool;
+      isCurrent @32 :Bool;
+      # The largest value stands for "no outage yet".
+      recoveredAgoMs @33 :UInt32;
+    }
   }
 }
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable
 from functools import singledispatch
+from typing import Protocol
 
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.adapters.local_target import LocalRequest, LocalTarget
@@ -15,6 +16,7 @@
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.messages import (
     Cancel,
+    FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
     Goodbye,
@@ -22,6 +24,8 @@
     Message,
     Ping,
     Pong,
+    StoreReport,
+    UnfollowStore,
 )
 from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.request_state import ForwardedOutcome, ForwardedRequest
@@ -46,6 +50,25 @@
 PeerCallback = Callable[[str], None]
 
 
+class StoreSharing(Protocol):
+    """The exchange of published items with peers."""
+
+    def link_opened(self, host: str) -> None:
+        """Handle that the connection to a peer is open."""
+
+    def link_lost(self, host: str) -> None:
+        """Handle that the connection to a peer was lost or could not be opened."""
+
+    def receive_report(self, host: str, report: StoreReport) -> None:
+        """Handle a report from a peer that this node follows."""
+
+    def add_follower(self, connection: PeerConnection, known_revision: int) -> None:
+        """Send changes to a peer from now on."""
+
+    def remove_follower(self, connection: PeerConnection) -> None:
+        """Send no more changes to a peer."""
+
+
 class PendingPeerRequest:
     """A request for a peer, waiting for a connection or in flight; ``cancel`` abandons it."""
 
@@ -97,6 +120,19 @@
             self.task = self.links.loop.create_task(self._connect())
         return pending
 
+    def open(self) -> None:
+        """Open the connection; the sharing of published items is told when it is open."""
+        if self.connection is not None and self.is_handshake_done:
+            self.links.sharing.link_opened(self.host)
+            return
+        if self.task is None:
+            self.task = self.links.loop.create_task(self._connect())
+
+    def send_control(self, message: Message) -> None:
+        """Send a message that needs no reply, if the connection is open."""
+        if self.connection is not None and self.is_handshake_done:
+            self.connection.send(message)
+
     def _send_now(self, pending: PendingPeerRequest) -> None:
         assert self.connection is not None
         pending.forward_id = self.next_id
@@ -124,11 +160,13 @@
             self.task = None
         if self.is_handshake_done:
             self._send_waiting()
+            self.links.sharing.link_opened(self.host)
             return
         if self.connection is not None:
             self.connection.abort()
         self.connection = None
         self._reject_waiting()
+        self.links.sharing.link_lost(self.host)
 
     def _send_waiting(self) -> None:
         waiting, self.waiting = self.waiting, []
@@ -166,6 +204,7 @@
                 request.settle(NotRun(Reason.PEER_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
                 continue
             request.settle(Unknown(Reason.CONNECTION_LOST, 0))
+        self.links.sharing.link_lost(self.host)
 
     def check_silence(self, now: float) -> None:
         """Ping a silent peer with requests in flight; abort the connection if it stays silent."""
@@ -204,6 +243,7 @@
         on_load: OnLoad,
         on_peer_started: PeerCallback,
         on_peer_draining: PeerCallback,
+        sharing: StoreSharing,
     ) -> None:
         self.hello = hello
         self.port = port
@@ -212,6 +252,7 @@
         self.on_load = on_load
         self.on_peer_started = on_peer_started
         self.on_peer_draining = on_peer_draining
+        self.sharing = sharing
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, PeerLink] = {}
         self.inbound: dict[PeerConnection, dict[int, LocalRequest]] = {}
@@ -241,16 +282,21 @@
         self, host: str, forwarded: ForwardedRequest, on_outcome: OnOutcome
     ) -> PendingPeerRequest:
         """Send a request to the node on another VM."""
+        return self.link_to(host).send(forwarded, on_outcome)
+
+    def link_to(self, host: str) -> PeerLink:
+        """Return the link to the node on another VM, which may not be open."""
         link = self.links.get(host)
         if link is None:
             link = self.links[host] = PeerLink(self, host)
-        return link.send(forwarded, on_outcome)
+        return link
 
     def deliver(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message on a connection that a peer opened."""
         _handle_request(message, self, connection)
 
     def _on_inbound_closed(self, connection: PeerConnection) -> None:
+        self.sharing.remove_follower(connection)
         for request in self.inbound.pop(connection, {}).values():
             request.cancel()
 
@@ -310,6 +356,11 @@
     _LOG.info("peer %s is draining; it gets no new requests", link.host)
 
 
+@_handle_reply.register
+def _(message: StoreReport, link: PeerLink, connection: PeerConnection) -> None:
+    link.links.sharing.receive_report(link.host, message)
+
+
 @singledispatch
 def _handle_request(message: object, links: PeerLinks, connection: PeerConnection) -> None:
     """Handle a message on a connection that a peer opened."""
@@ -328,6 +379,16 @@
     connection.send(Pong(load_report(links.local_target.queue)))
 
 
+@_handle_request.register
+def _(message: FollowStore, links: PeerLinks, connection: PeerConnection) -> None:
+    links.sharing.add_follower(connection, message.known_revision)
+
+
+@_handle_request.register
+def _(message: UnfollowStore, links: PeerLinks, connection: PeerConnection) -> None:
+    links.sharing.remove_follower(connection)
+
+
 @_handle_request.register
 def _(message: Cancel, links: PeerLinks, connection: PeerConnection) -> None:
     request = links.inbound[connection].pop(message.call_id, None)
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -9,6 +9,7 @@
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import StoreReadState
+from jacinthsail.internal.model.store_sources import StoreSources
 from jacinthsail.internal.model.target_queue import TargetQueue, WorkKind
 from jacinthsail.internal.queries.fleet_view import manifest_version
 
@@ -34,7 +35,11 @@
         self.latency_sums[route] += latency_s  # type: ignore[assignment]
 
     def page(
-        self, fleet: FleetState, queue: TargetQueue, reading: StoreReadState
+        self,
+        fleet: FleetState,
+        queue: TargetQueue,
+        reading: StoreReadState,
+        sources: StoreSources,
     ) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers."""
         registry = Registry()
@@ -58,6 +63,9 @@
             ),
             "targets": ("Published targets", len(fleet["targets"])),
             "store_reads": ("Reads of the platform's store that got a response", reading["reads"]),
+            "store_reader": ("1 if this node reads the store", int(sources["reads_store"])),
+            "store_sources": ("Nodes that this node follows", len(sources["sources"])),
+            "store_followers": ("Nodes that follow this one", sources["followers"]),
             "manifest_version": ("Version of the manifest in force", manifest_version(fleet)),
         }
         for name, (doc, value) in gauges.items():
--- /dev/null
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -0,0 +1,189 @@
+"""Exchanges published items with the other nodes of the failure domain."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from random import Random
+
+from jacinthsail.internal.adapters.connection import PeerConnection
+from jacinthsail.internal.adapters.peer_links import PeerLinks
+from jacinthsail.internal.adapters.wire import encode_frame
+from jacinthsail.internal.commands.fleet import record_store_recovery
+from jacinthsail.internal.commands.store_sources import (
+    add_source,
+    record_report,
+    record_source_lost,
+    remove_source,
+    set_followers,
+    update_order,
+    update_reader_role,
+)
+from jacinthsail.internal.model.fleet import FleetState
+from jacinthsail.internal.model.messages import FollowStore, StoreReport, UnfollowStore
+from jacinthsail.internal.model.store import StoreCopy, StoreDelta, StoreReadState, StoreUpdate
+from jacinthsail.internal.model.store_sources import StoreSources
+from jacinthsail.internal.queries.store_copy import changes_since, follows, is_newer, is_plausible
+from jacinthsail.internal.queries.store_reading import is_read_current
+from jacinthsail.internal.queries.store_sources import (
+    FALLBACK_JITTER_S,
+    REPORT_INTERVAL_S,
+    SOURCES_CHECK_INTERVAL_S,
+    source_changes,
+)
+
+_LOG = logging.getLogger("jacinthsail.store")
+
+# Applies an update that leaves no gap; the second argument names its source for the log.
+ApplyUpdate = Callable[[StoreUpdate, str], None]
+
+
+class StoreExchange:
+    """Follows other nodes, and reports to the nodes that follow this one.
+
+    ``reads_store`` is set while this node has to read the store itself.
+    """
+
+    def __init__(
+        self,
+        copy: StoreCopy,
+        reading: StoreReadState,
+        sources: StoreSources,
+        fleet: FleetState,
+        random: Random,
+    ) -> None:
+        self.copy = copy
+        self.reading = reading
+        self.sources = sources
+        self.fleet = fleet
+        self.own_host = fleet["location"].host
+        self.fallback_jitter_s = random.uniform(0.0, FALLBACK_JITTER_S)
+        self.followers: set[PeerConnection] = set()
+        self.reads_store = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+        self.links: PeerLinks | None = None
+        self.apply_update: ApplyUpdate | None = None
+        self.reported_at = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+
+    def start(self, links: PeerLinks, apply_update: ApplyUpdate) -> None:
+        """Begin to follow other nodes."""
+        self.links = links
+        self.apply_update = apply_update
+        self._check()
+
+    def close(self) -> None:
+        """Stop the periodic check."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def _check(self) -> None:
+        self.update_role()
+        now = self.loop.time()
+        if now - self.reported_at >= REPORT_INTERVAL_S:
+            self.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
+        self.timer = self.loop.call_later(SOURCES_CHECK_INTERVAL_S, self._check)
+
+    def update_role(self) -> None:
+        """Follow the sources that are preferred now, and decide whether to read the store."""
+        assert self.links is not None
+        now = self.loop.time()
+        changes = source_changes(self.sources, self.reading, self.own_host, now)
+        for host in changes.replace:
+            _LOG.warning("store reader %s went silent; connection replaced", host)
+            link = self.links.link_to(host)
+            if link.connection is not None:
+                link.connection.abort()
+            record_source_lost(self.sources, host, now)
+        for host in changes.unfollow:
+            self.links.link_to(host).send_control(UnfollowStore())
+            remove_source(self.sources, host)
+        for host in changes.follow:
+            add_source(self.sources, host, now)
+            self.links.link_to(host).open()
+        self._decide_role(now)
+
+    def _decide_role(self, now: float) -> None:
+        was_reader = self.sources["reads_store"]
+        update_reader_role(self.sources, self.reading, self.own_host, self.fallback_jitter_s, now)
+        if self.sources["reads_store"]:
+            self.reads_store.set()
+        else:
+            self.reads_store.clear()
+        if was_reader != self.sources["reads_store"]:
+            _LOG.info(
+                "node %s; sources %s, %d followers",
+                "reads the store" if self.sources["reads_store"] else "follows other nodes",
+                ", ".join(self.sources["sources"]) or "none",
+                len(self.followers),
+            )
+
+    def targets_changed(self) -> None:
+        """Order the possible readers anew after the published targets changed."""
+        update_order(self.sources, self.fleet)
+
+    def link_opened(self, host: str) -> None:
+        """Ask a source for its changes once the connection to it is open."""
+        if self.links is not None and host in self.sources["sources"]:
+            self.links.link_to(host).send_control(FollowStore(self.copy["revision"]))
+
+    def link_lost(self, host: str) -> None:
+        """Follow another node if the connection to a source was lost."""
+        if host not in self.sources["sources"]:
+            return
+        _LOG.info("lost the connection to store reader %s", host)
+        record_source_lost(self.sources, host, self.loop.time())
+        if self.links is not None:
+            self.loop.call_soon(self.update_role)
+
+    def receive_report(self, host: str, report: StoreReport) -> None:
+        """Apply what a source has read, unless another source was faster."""
+        update = report.update
+        if host not in self.sources["sources"]:
+            return
+        if not is_plausible(self.copy, update):
+            _LOG.error("store reader %s claims revision %d; refused", host, update.revision)
+            return
+        now = self.loop.time()
+        record_report(self.sources, host, report.is_current, now)
+        if report.recovered_ago_s is not None:
+            record_store_recovery(self.fleet, now - report.recovered_ago_s)
+        if not is_newer(self.copy, update):
+            return
+        if not follows(update, self.copy):
+            self.link_opened(host)
+            return
+        assert self.apply_update is not None
+        self.apply_update(update, host)
+
+    def add_follower(self, connection: PeerConnection, known_revision: int) -> None:
+        """Report to a node from now on, beginning with what it lacks."""
+        self.followers.add(connection)
+        set_followers(self.sources, len(self.followers))
+        connection.send(self._report_with(changes_since(self.copy, known_revision)))
+        self._decide_role(self.loop.time())
+
+    def remove_follower(self, connection: PeerConnection) -> None:
+        """Report to a node no longer."""
+        if connection not in self.followers:
+            return
+        self.followers.discard(connection)
+        set_followers(self.sources, len(self.followers))
+
+    def report(self, update: StoreUpdate) -> None:
+        """Send an update, which may be empty, to all followers."""
+        self.reported_at = self.loop.time()
+        if not self.followers:
+            return
+        frame = encode_frame(self._report_with(update))
+        for connection in tuple(self.followers):
+            if connection.is_writable():
+                connection.send_frame(frame, True)
+
+    def _report_with(self, update: StoreUpdate) -> StoreReport:
+        recovered_at = self.fleet["store_recovered_at"]
+        now = self.loop.time()
+        return StoreReport(
+            update,
+            is_read_current(self.reading, now),
+            now - recovered_at if recovered_at > float("-inf") else None,
+        )
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -1,33 +1,45 @@
-"""Follows the platform's store: one loop reads changes and applies each response."""
+"""Keeps this node's copy of the published items up to date, from the store and from peers."""
 
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import singledispatch
 from random import Random
 from typing import Any, Protocol
 
 import mode
 
-from jacinthsail.internal.commands.store_reading import apply_store_response
+from jacinthsail.internal.adapters.peer_links import PeerLinks
+from jacinthsail.internal.adapters.store_exchange import StoreExchange
+from jacinthsail.internal.commands.store_copy import record_copied, record_items
+from jacinthsail.internal.commands.store_reading import apply_changes, record_response
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import (
+    HistoryCompacted,
+    PublishedItem,
     ReadChanges,
     ReadSnapshot,
+    StoreChange,
+    StoreCopy,
     StoreDelta,
     StoreReadState,
     StoreResponse,
     StoreSnapshot,
     StoreUnavailable,
+    StoreUpdate,
     UndecodableItem,
 )
 from jacinthsail.internal.queries.fleet_view import manifest_version
+from jacinthsail.internal.queries.store_copy import is_newer, items_to_apply
 from jacinthsail.internal.queries.store_reading import next_read, read_delay_s
 
 _LOG = logging.getLogger("jacinthsail.store")
 
+STORE = "the store"
+
 
 class StoreClient(Protocol):
-    """Read operations of the platform's store."""
+    """Read operations of the platform's store, and the decoding of its items."""
 
     async def read_snapshot(self) -> StoreResponse:
         """Read a snapshot of all items."""
@@ -35,15 +47,20 @@
     async def read_changes(self, after: int, wait_s: float) -> StoreResponse:
         """Read the changes after a revision, waiting up to ``wait_s`` for one."""
 
+    def decode(self, item: PublishedItem) -> StoreChange:
+        """Return the change that an item stands for."""
+
 
 class StoreFollower(mode.Service):
-    """Keeps the manifest and the list of targets up to date."""
+    """Reads the store while this node is a reader, and applies the updates of all sources."""
 
     def __init__(
         self,
         client: StoreClient,
         reading: StoreReadState,
+        copy: StoreCopy,
         fleet: FleetState,
+        exchange: StoreExchange,
         random: Random,
         on_change: Callable[[], None],
         **kwargs: Any,
@@ -51,49 +68,106 @@
         super().__init__(**kwargs)
         self.client = client
         self.reading = reading
+        self.copy = copy
         self.fleet = fleet
+        self.exchange = exchange
         self.random = random
         self.on_change = on_change
 
+    def share_with(self, links: PeerLinks) -> None:
+        """Begin to exchange published items with other nodes."""
+        self.exchange.start(links, self.apply_update)
+
     @mode.Service.task
     async def follow(self) -> None:
         """Read until the node stops."""
         loop = asyncio.get_running_loop()
         while not self.should_stop:
+            if not self.reading["needs_snapshot"]:
+                await self.exchange.reads_store.wait()
             pause_s = read_delay_s(self.reading, self.random)
             if pause_s:
                 await asyncio.sleep(pause_s)
             response = await self._read()
-            self._apply(response, loop.time())
+            self._apply_response(response, loop.time())
 
     async def _read(self) -> StoreResponse:
-        read = next_read(self.reading, self.fleet)
+        read = next_read(self.reading, self.copy)
         if isinstance(read, ReadSnapshot):
             return await self.client.read_snapshot()
         assert isinstance(read, ReadChanges)
         return await self.client.read_changes(read.after, read.wait_s)
 
-    def _apply(self, response: StoreResponse, now: float) -> None:
+    def _apply_response(self, response: StoreResponse, now: float) -> None:
         failures = self.reading["failures"]
+        record_response(response, self.reading, self.fleet, now)
+        _log_response(response, failures)
+        if isinstance(response, StoreSnapshot | StoreDelta) and is_newer(self.copy, response):
+            self.apply_update(response, STORE)
+            return
+        if (failures == 0) != (self.reading["failures"] == 0):
+            self.exchange.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
+
+    def apply_update(self, update: StoreUpdate, source: str) -> None:
+        """Apply an update that leaves no gap, and report it to the nodes that follow this one."""
+        before = self.copy["revision"]
         version = manifest_version(self.fleet)
-        apply_store_response(response, self.reading, self.fleet, now)
-        self._log(response, failures, version)
+        items = items_to_apply(update, self.copy)
+        changes = [self.client.decode(item) for item in items]
+        record_items(self.copy, items)
+        record_copied(update, self.copy)
+        apply_changes(changes, self.fleet, asyncio.get_running_loop().time())
+        self._log_changes(changes, version, source)
+        self.exchange.targets_changed()
         self.on_change()
+        self.exchange.report(_update_for_followers(update, items, before))
 
-    def _log(self, response: StoreResponse, failures: int, version: int) -> None:
-        if isinstance(response, StoreUnavailable):
-            if failures == 0:
-                _LOG.warning("store is unavailable: %s", response.detail)
-            return
-        if failures:
-            _LOG.info("store is available again after %d failed reads", failures)
+    def _log_changes(self, changes: list[StoreChange], version: int, source: str) -> None:
         if manifest_version(self.fleet) != version:
             _LOG.info(
-                "manifest %08x is in force, previously %08x", manifest_version(self.fleet), version
+                "manifest %08x is in force, previously %08x; revision %d from %s",
+                manifest_version(self.fleet),
+                version,
+                self.copy["revision"],
+                source,
             )
-        if not isinstance(response, StoreSnapshot | StoreDelta):
-            _LOG.info("store has discarded its change history; reading a new snapshot")
-            return
-        for change in response.changes:
+        for change in changes:
             if isinstance(change, UndecodableItem):
                 _LOG.warning("ignoring unreadable item %s: %s", change.key, change.detail)
+
+
+@singledispatch
+def _update_for_followers(
+    update: object, items: tuple[PublishedItem, ...], before: int
+) -> StoreUpdate:
+    """Return the update for nodes that know all changes up to revision ``before``."""
+    raise NotImplementedError(f"no update for {type(update).__name__}; register one")
+
+
+@_update_for_followers.register
+def _(update: StoreDelta, items: tuple[PublishedItem, ...], before: int) -> StoreUpdate:
+    return StoreDelta(items, before, update.revision)
+
+
+@_update_for_followers.register
+def _(update: StoreSnapshot, items: tuple[PublishedItem, ...], before: int) -> StoreUpdate:
+    # The differences to the previous copy do not show which items came and went in between.
+    return update
+
+
+@singledispatch
+def _log_response(response: object, failures: int) -> None:
+    """Log what a response of the store shows; ``failures`` counts the failed reads before it."""
+    if failures:
+        _LOG.info("store is available again after %d failed reads", failures)
+
+
+@_log_response.register
+def _(response: StoreUnavailable, failures: int) -> None:
+    if failures == 0:
+        _LOG.warning("store is unavailable: %s", response.detail)
+
+
+@_log_response.register
+def _(response: HistoryCompacted, failures: int) -> None:
+    _LOG.info("store has discarded its change history; reading a new snapshot")
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -35,6 +35,7 @@
     CallReply,
     CallRequest,
     Cancel,
+    FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
     Goodbye,
@@ -45,9 +46,17 @@
     Message,
     Ping,
     Pong,
+    StoreReport,
+    UnfollowStore,
     VersionOffer,
 )
 from jacinthsail.internal.model.replication import Item, ItemVersion
+from jacinthsail.internal.model.store import (
+    PublishedItem,
+    StoreDelta,
+    StoreSnapshot,
+    StoreUpdate,
+)
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("messages.capnp")))
@@ -57,6 +66,9 @@
 # An item has at most 1 MB and a forwarded body at most 16 MB; the rest is for metadata.
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 
+# Items are sent to many nodes of one failure domain; higher levels cost more time than they save.
+COMPRESSION_LEVEL = 1
+
 # Limits decompression, since a small frame could inflate to any size; items have at most 1 MB.
 MAX_ITEM_BYTES = 1024 * 1024
 
@@ -184,6 +196,35 @@
     _encode_load(message.load, builder.init("pong"))
 
 
+@_encode.register
+def _(message: FollowStore, builder: Any) -> None:
+    builder.init("followStore").knownRevision = message.known_revision
+
+
+@_encode.register
+def _(message: UnfollowStore, builder: Any) -> None:
+    builder.unfollowStore = None
+
+
+@_encode.register
+def _(message: StoreReport, builder: Any) -> None:
+    report = builder.init("storeReport")
+    update = message.update
+    report.revision = update.revision
+    report.isSnapshot = isinstance(update, StoreSnapshot)
+    report.after = 0 if isinstance(update, StoreSnapshot) else update.after
+    report.isCurrent = message.is_current
+    report.recoveredAgoMs = (
+        MAX_UINT32 if message.recovered_ago_s is None else milliseconds(message.recovered_ago_s)
+    )
+    items = report.init("items", len(update.items))
+    for index, item in enumerate(update.items):
+        items[index].key = item.key
+        items[index].revision = item.revision
+        items[index].isRemoved = item.body is None
+        items[index].compressedBody = zlib.compress(item.body or b"", COMPRESSION_LEVEL)
+
+
 def _encode_load(load: LoadReport, builder: Any) -> None:
     builder.inFlight = load.in_flight
     builder.queued = load.queued
@@ -298,6 +339,27 @@
     return Pong(_decode_load(reader.pong))
 
 
+def _decode_follow_store(reader: Any) -> Message:
+    return FollowStore(reader.followStore.knownRevision)
+
+
+def _decode_unfollow_store(_reader: Any) -> Message:
+    return UnfollowStore()
+
+
+def _decode_store_report(reader: Any) -> Message:
+    report = reader.storeReport
+    items = []
+    for item in report.items:
+        body = None if item.isRemoved else _decompress(bytes(item.compressedBody))
+        items.append(PublishedItem(item.key, item.revision, body))
+    update: StoreUpdate = StoreDelta(tuple(items), report.after, report.revision)
+    if report.isSnapshot:
+        update = StoreSnapshot(tuple(items), report.revision)
+    ago_ms = report.recoveredAgoMs
+    return StoreReport(update, report.isCurrent, None if ago_ms == MAX_UINT32 else ago_ms / 1000)
+
+
 def _decode_load(reader: Any) -> LoadReport:
     return LoadReport(
         reader.inFlight,
@@ -346,4 +408,7 @@
     "forwardReply": _decode_forward_reply,
     "ping": _decode_ping,
     "pong": _decode_pong,
+    "followStore": _decode_follow_store,
+    "unfollowStore": _decode_unfollow_store,
+    "storeReport": _decode_store_report,
 }
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -5,6 +5,7 @@
 from jacinthsail.internal.model.fleet import (
     FleetState,
     LoadReport,
+    TargetAtDistance,
     TargetEntry,
     UnconfirmedRemoval,
 )
@@ -12,7 +13,7 @@
 from jacinthsail.internal.queries.fleet_view import (
     DRAINING_PERIOD_S,
     NOT_READY_PERIOD_S,
-    by_service,
+    distance_to,
     failure_rate_after,
     new_target_view,
     suspicion_s,
@@ -36,19 +37,35 @@
     """Add or replace the entry of a target."""
     known = fleet["targets"].get(entry.incarnation)
     fleet["unconfirmed_removals"].pop(entry.incarnation, None)
+    if known == entry:
+        return
+    if known is not None:
+        _remove_from_groups(fleet, known)
     fleet["targets"][entry.incarnation] = entry
     if entry.incarnation not in fleet["views"]:
         fleet["views"][entry.incarnation] = new_target_view(entry)
-    if known is None or known != entry:
-        fleet["by_service"] = by_service(fleet["targets"], fleet["location"])
+    distance = distance_to(entry, fleet["location"])
+    groups = fleet["by_service"].setdefault(entry.service, {})
+    groups[distance] = (*groups.get(distance, ()), TargetAtDistance(entry, distance))
 
 
 def remove_target(fleet: FleetState, incarnation: str) -> None:
     """Remove a target and the observations of it."""
     fleet["unconfirmed_removals"].pop(incarnation, None)
     fleet["views"].pop(incarnation, None)
-    if fleet["targets"].pop(incarnation, None) is not None:
-        fleet["by_service"] = by_service(fleet["targets"], fleet["location"])
+    entry = fleet["targets"].pop(incarnation, None)
+    if entry is not None:
+        _remove_from_groups(fleet, entry)
+
+
+def _remove_from_groups(fleet: FleetState, entry: TargetEntry) -> None:
+    distance = distance_to(entry, fleet["location"])
+    groups = fleet["by_service"][entry.service]
+    groups[distance] = tuple(
+        at_distance
+        for at_distance in groups[distance]
+        if at_distance.entry.incarnation != entry.incarnation
+    )
 
 
 def record_unconfirmed_removal(fleet: FleetState, incarnation: str, until: float) -> None:
@@ -58,14 +75,9 @@
         fleet["unconfirmed_removals"][incarnation] = UnconfirmedRemoval(entry, until)
 
 
-def record_revision(fleet: FleetState, revision: int) -> None:
-    """Record the revision of the store up to which this node has read."""
-    fleet["revision"] = revision
-
-
 def record_store_recovery(fleet: FleetState, now: float) -> None:
     """Record when the store responded again after an outage."""
-    fleet["store_recovered_at"] = now
+    fleet["store_recovered_at"] = max(now, fleet["store_recovered_at"])
 
 
 def record_call_sent(fleet: FleetState, entry: TargetEntry) -> None:
--- a/src/jacinthsail/internal/commands/store_reading.py
+++ b/src/jacinthsail/internal/commands/store_reading.py
@@ -1,11 +1,11 @@
 """Applies responses of the platform's store."""
 
+from collections.abc import Iterable
 from functools import singledispatch
 
 from jacinthsail.internal.commands.fleet import (
     install_manifest,
     put_target,
-    record_revision,
     record_store_recovery,
     record_unconfirmed_removal,
     remove_target,
@@ -14,6 +14,7 @@
 from jacinthsail.internal.model.store import (
     HistoryCompacted,
     ManifestPublished,
+    StoreChange,
     StoreDelta,
     StoreReadState,
     StoreSnapshot,
@@ -27,43 +28,34 @@
     expired_unconfirmed_removals,
     is_newer_manifest,
     is_removal_unconfirmed,
-    missing_targets,
 )
 
 
 @singledispatch
-def apply_store_response(
+def record_response(
     response: object, reading: StoreReadState, fleet: FleetState, now: float
 ) -> None:
-    """Apply one response of the store."""
+    """Record how a read of the store ended."""
     raise NotImplementedError(f"no rule for {type(response).__name__}; register one")
 
 
-@apply_store_response.register
+@record_response.register
 def _(response: StoreSnapshot, reading: StoreReadState, fleet: FleetState, now: float) -> None:
-    record_read(reading, fleet, now)
     reading["needs_snapshot"] = False
-    for change in response.changes:
-        apply_change(change, fleet, now)
-    for incarnation in missing_targets(fleet, response.incarnations):
-        apply_change(TargetRemoved(incarnation), fleet, now)
-    record_revision(fleet, response.revision)
+    record_read(reading, fleet, now)
 
 
-@apply_store_response.register
+@record_response.register
 def _(response: StoreDelta, reading: StoreReadState, fleet: FleetState, now: float) -> None:
     record_read(reading, fleet, now)
-    for change in response.changes:
-        apply_change(change, fleet, now)
-    record_revision(fleet, response.revision)
 
 
-@apply_store_response.register
+@record_response.register
 def _(response: HistoryCompacted, reading: StoreReadState, fleet: FleetState, now: float) -> None:
     reading["needs_snapshot"] = True
 
 
-@apply_store_response.register
+@record_response.register
 def _(response: StoreUnavailable, reading: StoreReadState, fleet: FleetState, now: float) -> None:
     reading["failures"] += 1
 
@@ -77,6 +69,12 @@
     reading["reads"] += 1
 
 
+def apply_changes(changes: Iterable[StoreChange], fleet: FleetState, now: float) -> None:
+    """Apply published changes, in their order."""
+    for change in changes:
+        apply_change(change, fleet, now)
+
+
 @singledispatch
 def apply_change(change: object, fleet: FleetState, now: float) -> None:
     """Apply one published change."""
--- a/src/jacinthsail/internal/model/fleet.py
+++ b/src/jacinthsail/internal/model/fleet.py
@@ -88,8 +88,7 @@
     """The published manifest and targets, and this node's observations of each target.
 
     ``location`` is this node's location, from which the distances of the targets follow.
-    ``split_positions`` counts the requests of each route that is split between services, and
-    ``revision`` is the revision of the store up to which this node has read.
+    ``split_positions`` counts the requests of each route that is split between services.
     """
 
     location: NodeLocation
@@ -99,7 +98,6 @@
     targets: dict[str, TargetEntry]
     by_service: dict[str, dict[Distance, tuple[TargetAtDistance, ...]]]
     unconfirmed_removals: dict[str, UnconfirmedRemoval]
-    revision: int
     store_recovered_at: float
     views: dict[str, TargetView]
 
--- a/src/jacinthsail/internal/model/messages.py
+++ b/src/jacinthsail/internal/model/messages.py
@@ -6,6 +6,7 @@
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.replication import Item, ItemVersion
 from jacinthsail.internal.model.request_state import ForwardedOutcome, ForwardedRequest
+from jacinthsail.internal.model.store import StoreUpdate
 
 
 class Hello(NamedTuple):
@@ -105,6 +106,28 @@
     load: LoadReport
 
 
+class FollowStore(NamedTuple):
+    """Asks a node for its published items, from a known revision on, and for all later changes."""
+
+    known_revision: int
+
+
+class UnfollowStore(NamedTuple):
+    """Ends the wish for changes of the published items."""
+
+
+class StoreReport(NamedTuple):
+    """Published items from a node that another one follows; the update may contain none.
+
+    ``is_current`` is true if the sender's last read of the store succeeded.
+    ``recovered_ago_s`` is the time since the store recovered from an outage, or None.
+    """
+
+    update: StoreUpdate
+    is_current: bool
+    recovered_ago_s: float | None
+
+
 Message = (
     Hello
     | Heartbeat
@@ -119,4 +142,7 @@
     | ForwardReplyMessage
     | Ping
     | Pong
+    | FollowStore
+    | UnfollowStore
+    | StoreReport
 )
--- a/src/jacinthsail/internal/model/store.py
+++ b/src/jacinthsail/internal/model/store.py
@@ -34,24 +34,32 @@
 StoreChange = ManifestPublished | TargetPublished | TargetRemoved | UndecodableItem
 
 
-class StoreSnapshot(NamedTuple):
-    """All published items, read page by page, as of the revision before the first page.
+class PublishedItem(NamedTuple):
+    """One item of the store at a revision; ``body`` is None if the item was removed."""
 
-    ``incarnations`` are the targets whose items were listed, decodable or not.
-    """
+    key: str
+    revision: int
+    body: bytes | None
 
-    changes: tuple[StoreChange, ...]
-    incarnations: frozenset[str]
+
+class StoreSnapshot(NamedTuple):
+    """All published items as of a revision; some may already be newer."""
+
+    items: tuple[PublishedItem, ...]
     revision: int
 
 
 class StoreDelta(NamedTuple):
-    """The changes up to a revision."""
+    """The items that changed after one revision and up to another."""
 
-    changes: tuple[StoreChange, ...]
+    items: tuple[PublishedItem, ...]
+    after: int
     revision: int
 
 
+StoreUpdate = StoreSnapshot | StoreDelta
+
+
 class HistoryCompacted(NamedTuple):
     """The store no longer has the history after the requested revision."""
 
@@ -66,7 +74,20 @@
     status: int = 0
 
 
-StoreResponse = StoreSnapshot | StoreDelta | HistoryCompacted | StoreUnavailable
+StoreResponse = StoreUpdate | HistoryCompacted | StoreUnavailable
+
+
+class StoreCopy(TypedDict):
+    """A node's copy of the published items, and what it needs to pass changes on to other nodes.
+
+    ``revision`` is the revision of the store up to which the copy is complete. ``removals`` holds
+    the revisions at which items were removed; all removals after ``complete_since`` are in it.
+    """
+
+    items: dict[str, PublishedItem]
+    removals: dict[str, int]
+    complete_since: int
+    revision: int
 
 
 class StoreReadState(TypedDict):
--- /dev/null
+++ b/src/jacinthsail/internal/model/store_sources.py
@@ -0,0 +1,41 @@
+"""The nodes from which a node learns what the store publishes."""
+
+from typing import NamedTuple, TypedDict
+
+
+class SourceState(TypedDict):
+    """One node that this node follows; times are monotonic seconds.
+
+    ``is_current`` is true if the node's last read of the store succeeded.
+    """
+
+    followed_at: float
+    received_at: float
+    is_current: bool
+
+
+class StoreSources(TypedDict):
+    """The sources of a node, and its own part in the distribution.
+
+    ``order`` lists the hosts of the failure domain in the order in which they are preferred as
+    sources; nodes that know the same targets have the same order. ``suspected_until`` and
+    ``failures`` concern sources that could not be reached or went silent. ``followers`` counts the
+    nodes that follow this one, and ``working_at`` is when another node last proved to be current.
+    ``reads_store`` is set while this node has to read the store itself.
+    """
+
+    order: tuple[str, ...]
+    sources: dict[str, SourceState]
+    suspected_until: dict[str, float]
+    failures: dict[str, int]
+    followers: int
+    working_at: float
+    reads_store: bool
+
+
+class SourceChanges(NamedTuple):
+    """The hosts to follow, to follow no longer, and to reconnect to because they are silent."""
+
+    follow: tuple[str, ...]
+    unfollow: tuple[str, ...]
+    replace: tuple[str, ...]
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -1,12 +1,9 @@
 """A node's view of the targets: distance, failure rate, suspicion and unconfirmed removals."""
 
-from collections.abc import Iterable, Mapping
-
 from jacinthsail.internal.model.fleet import (
     FleetState,
     LoadReport,
     NodeLocation,
-    TargetAtDistance,
     TargetEntry,
     TargetView,
 )
@@ -53,7 +50,6 @@
         targets={},
         by_service={},
         unconfirmed_removals={},
-        revision=0,
         store_recovered_at=float("-inf"),
         views={},
     )
@@ -73,18 +69,6 @@
     )
 
 
-def by_service(
-    targets: Mapping[str, TargetEntry], location: NodeLocation
-) -> dict[str, dict[Distance, tuple[TargetAtDistance, ...]]]:
-    """Return the targets grouped by service and distance."""
-    grouped: dict[str, dict[Distance, tuple[TargetAtDistance, ...]]] = {}
-    for entry in targets.values():
-        distance = distance_to(entry, location)
-        groups = grouped.setdefault(entry.service, {})
-        groups[distance] = (*groups.get(distance, ()), TargetAtDistance(entry, distance))
-    return grouped
-
-
 def distance_to(entry: TargetEntry, location: NodeLocation) -> Distance:
     """Return the distance of a target from a node."""
     if entry.failure_domain == location.failure_domain:
@@ -158,12 +142,6 @@
     )
 
 
-def missing_targets(fleet: FleetState, listed: Iterable[str]) -> tuple[str, ...]:
-    """Return the known targets that are missing from a complete list."""
-    names = frozenset(listed)
-    return tuple(name for name in fleet["targets"] if name not in names)
-
-
 def target_count(fleet: FleetState, service: str) -> int:
     """Return the number of targets of a service, and at least 1."""
     groups = fleet["by_service"].get(service, {})
--- /dev/null
+++ b/src/jacinthsail/internal/queries/store_copy.py
@@ -0,0 +1,102 @@
+"""Decides which published items replace the copies on this node, and what other nodes lack."""
+
+from functools import singledispatch
+
+from jacinthsail.internal.model.store import (
+    PublishedItem,
+    StoreCopy,
+    StoreDelta,
+    StoreSnapshot,
+    StoreUpdate,
+)
+
+# Removals that are kept for nodes that lag behind; a node that lacks older ones gets a snapshot.
+MAX_REMOVALS = 2_000
+
+# The store's revision grows by a few thousand an hour. A peer that claims a much larger one is
+# faulty, and accepting it would hide all later changes.
+MAX_REVISION_STEP = 1_000_000
+
+
+def new_store_copy() -> StoreCopy:
+    """Return the copy of a node that has read nothing yet."""
+    return StoreCopy(items={}, removals={}, complete_since=0, revision=0)
+
+
+def is_newer(copy: StoreCopy, update: StoreUpdate) -> bool:
+    """Return whether an update takes the copy to a later revision."""
+    return update.revision > copy["revision"]
+
+
+@singledispatch
+def follows(update: object, copy: StoreCopy) -> bool:
+    """Return whether an update leaves no gap after the revision of the copy."""
+    raise NotImplementedError(f"no rule for {type(update).__name__}; register one")
+
+
+@follows.register
+def _(update: StoreSnapshot, copy: StoreCopy) -> bool:
+    return True
+
+
+@follows.register
+def _(update: StoreDelta, copy: StoreCopy) -> bool:
+    return update.after <= copy["revision"]
+
+
+def is_plausible(copy: StoreCopy, update: StoreUpdate) -> bool:
+    """Return whether a peer's update can stem from the store that this node has read."""
+    if not copy["revision"]:
+        return True
+    newest = max((item.revision for item in update.items), default=0)
+    return max(newest, update.revision) - copy["revision"] <= MAX_REVISION_STEP
+
+
+def known_revision(copy: StoreCopy, key: str) -> int:
+    """Return the revision of the newest known change of an item, or 0 if there is none."""
+    item = copy["items"].get(key)
+    return copy["removals"].get(key, 0) if item is None else item.revision
+
+
+@singledispatch
+def items_to_apply(update: object, copy: StoreCopy) -> tuple[PublishedItem, ...]:
+    """Return the changes in an update that are newer than the copies of the same items."""
+    raise NotImplementedError(f"no rule for {type(update).__name__}; register one")
+
+
+@items_to_apply.register
+def _(update: StoreSnapshot, copy: StoreCopy) -> tuple[PublishedItem, ...]:
+    listed = frozenset(item.key for item in update.items)
+    removed = []
+    for key, item in copy["items"].items():
+        if key not in listed and item.revision <= update.revision:
+            removed.append(PublishedItem(key, update.revision, None))
+    return _newer_items(copy, update.items) + tuple(removed)
+
+
+@items_to_apply.register
+def _(update: StoreDelta, copy: StoreCopy) -> tuple[PublishedItem, ...]:
+    return _newer_items(copy, update.items)
+
+
+def _newer_items(copy: StoreCopy, items: tuple[PublishedItem, ...]) -> tuple[PublishedItem, ...]:
+    return tuple(item for item in items if item.revision > known_revision(copy, item.key))
+
+
+def changes_since(copy: StoreCopy, revision: int) -> StoreUpdate:
+    """Return what a node lacks that knows all changes up to a revision."""
+    if revision < copy["complete_since"]:
+        return StoreSnapshot(tuple(copy["items"].values()), copy["revision"])
+    changed = [item for item in copy["items"].values() if item.revision > revision]
+    for key, removed_at in copy["removals"].items():
+        if removed_at > revision:
+            changed.append(PublishedItem(key, removed_at, None))
+    return StoreDelta(tuple(changed), revision, copy["revision"])
+
+
+def surplus_removals(copy: StoreCopy) -> tuple[str, ...]:
+    """Return the keys of the oldest removals beyond the number that is kept."""
+    surplus = len(copy["removals"]) - MAX_REMOVALS
+    if surplus <= 0:
+        return ()
+    return tuple(sorted(copy["removals"], key=copy["removals"].__getitem__)[:surplus])
--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -2,8 +2,13 @@
 
 from random import Random
 
-from jacinthsail.internal.model.fleet import FleetState
-from jacinthsail.internal.model.store import ReadChanges, ReadSnapshot, StoreRead, StoreReadState
+from jacinthsail.internal.model.store import (
+    ReadChanges,
+    ReadSnapshot,
+    StoreCopy,
+    StoreRead,
+    StoreReadState,
+)
 
 # Entries change with every heartbeat of a target, so a watch that is renewed at once would return
 # many times a second. Changes must be in force within 2 s.
@@ -13,6 +18,9 @@
 # then, and changes must be in force within 2 s of its recovery.
 MAX_WATCH_WAIT_S = 1.4
 
+# The longest time between two successful reads while the store responds, with some margin.
+MAX_READ_AGE_S = MAX_WATCH_WAIT_S + WATCH_PAUSE_S + 0.6
+
 # Delay after a failed read. Jitter keeps the nodes from reading simultaneously after an outage.
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_STORE_RETRY_DELAY_S = 0.5
@@ -23,13 +31,18 @@
     return StoreReadState(needs_snapshot=True, failures=0, last_read_at=float("-inf"), reads=0)
 
 
-def next_read(reading: StoreReadState, fleet: FleetState) -> StoreRead:
+def next_read(reading: StoreReadState, copy: StoreCopy) -> StoreRead:
     """Return the next read: a snapshot, or the changes since the last revision."""
     if reading["needs_snapshot"]:
         return ReadSnapshot()
     # After a failure, a read does not wait for changes, since it may be lost as well.
     wait_s = 0.0 if reading["failures"] else MAX_WATCH_WAIT_S
-    return ReadChanges(fleet["revision"], wait_s)
+    return ReadChanges(copy["revision"], wait_s)
+
+
+def is_read_current(reading: StoreReadState, now: float) -> bool:
+    """Return whether the last read of the store succeeded, and recently enough to rely on."""
+    return reading["failures"] == 0 and now - reading["last_read_at"] <= MAX_READ_AGE_S
 
 
 def read_delay_s(reading: StoreReadState, random: Random) -> float:
--- /dev/null
+++ b/src/jacinthsail/internal/queries/store_sources.py
@@ -0,0 +1,135 @@
+"""Decides which nodes read the store and from which nodes the others learn its changes.
+
+The first nodes in an order that all nodes of a failure domain share read the store. Each node
+follows two of them, so a change still arrives at once while one of them fails. A node that finds a
+reader not working follows the next in the order, which then starts to read.
+"""
+
+from jacinthsail.internal.model.fleet import FleetState
+from jacinthsail.internal.model.store import StoreReadState
+from jacinthsail.internal.model.store_sources import SourceChanges, SourceState, StoreSources
+from jacinthsail.internal.queries.membership import WATCHERS_PER_DOMAIN, rendezvous_score
+
+# Bounds the number of readers while the store itself is unavailable and no reader works.
+MAX_SOURCES = 4
+
+# A reader reports this often even if nothing changes.
+REPORT_INTERVAL_S = 0.8
+
+# A source that sent nothing for this long is frozen, or its connection is dead.
+SOURCE_SILENCE_S = 2.0
+
+# A new source has this long to connect and to read the store for the first time.
+SOURCE_TRIAL_S = 1.2
+
+# Without a working source for this long, a node reads the store itself. The jitter spreads the
+# reads of a failure domain that lost all its readers.
+FALLBACK_DELAY_S = 1.2
+FALLBACK_JITTER_S = 0.8
+
+SOURCES_CHECK_INTERVAL_S = 0.25
+
+
+def new_store_sources() -> StoreSources:
+    """Return the state of a node that knows no other nodes yet."""
+    return StoreSources(
+        order=(),
+        sources={},
+        suspected_until={},
+        failures={},
+        followers=0,
+        working_at=float("-inf"),
+        reads_store=True,
+    )
+
+
+def reader_order(fleet: FleetState) -> tuple[str, ...]:
+    """Return the hosts of this node's failure domain in the order of preference as readers."""
+    location = fleet["location"]
+    hosts = {location.host}
+    for entry in fleet["targets"].values():
+        if entry.failure_domain == location.failure_domain and not entry.is_draining:
+            hosts.add(entry.host)
+    domain = location.failure_domain
+    return tuple(sorted(hosts, key=lambda host: (-rendezvous_score(domain, host), host)))
+
+
+def preferred_sources(
+    state: StoreSources, reading: StoreReadState, own_host: str, now: float
+) -> tuple[str, ...]:
+    """Return the hosts that this node should learn from, possibly including itself.
+
+    Sources that do not work at present stay included, so that their recovery is noticed, but
+    further ones are added until enough of them work.
+    """
+    preferred: list[str] = []
+    working = 0
+    for host in state["order"]:
+        if working >= WATCHERS_PER_DOMAIN or len(preferred) >= MAX_SOURCES:
+            break
+        if now < state["suspected_until"].get(host, 0.0):
+            continue
+        preferred.append(host)
+        if host == own_host:
+            working += reading["failures"] == 0
+            continue
+        source = state["sources"].get(host)
+        if source is None or is_working(source, now) or is_on_trial(source, now):
+            working += 1
+    return tuple(preferred)
+
+
+def is_working(source: SourceState, now: float) -> bool:
+    """Return whether a source reads the store successfully and its reports arrive."""
+    return source["is_current"] and not is_silent(source, now)
+
+
+def is_on_trial(source: SourceState, now: float) -> bool:
+    """Return whether a source has been followed too briefly for a judgement."""
+    return now - source["followed_at"] <= SOURCE_TRIAL_S
+
+
+def is_silent(source: SourceState, now: float) -> bool:
+    """Return whether a source has sent nothing for longer than a live reader would."""
+    return now - max(source["received_at"], source["followed_at"]) > SOURCE_SILENCE_S
+
+
+def source_changes(
+    state: StoreSources, reading: StoreReadState, own_host: str, now: float
+) -> SourceChanges:
+    """Return how the followed sources have to change."""
+    preferred = preferred_sources(state, reading, own_host, now)
+    follow = []
+    for host in preferred:
+        if host != own_host and host not in state["sources"]:
+            follow.append(host)
+    unfollow = []
+    replace = []
+    for host, source in state["sources"].items():
+        if is_silent(source, now):
+            replace.append(host)
+            continue
+        if host not in preferred:
+            unfollow.append(host)
+    return SourceChanges(tuple(follow), tuple(unfollow), tuple(replace))
+
+
+def must_read_store(
+    state: StoreSources,
+    reading: StoreReadState,
+    own_host: str,
+    fallback_jitter_s: float,
+    now: float,
+) -> bool:
+    """Return whether this node has to read the store itself.
+
+    It is a reader by the common order, another node follows it, or it has no working source.
+    """
+    if state["followers"] or own_host in preferred_sources(state, reading, own_host, now):
+        return True
+    return now - state["working_at"] > FALLBACK_DELAY_S + fallback_jitter_s
+
+
+def has_working_source(state: StoreSources, now: float) -> bool:
+    """Return whether at least one followed node is known to be current."""
+    return any(is_working(source, now) for source in state["sources"].values())
--- a/src/jacinthsail/platform/decoding.py
+++ b/src/jacinthsail/platform/decoding.py
@@ -1,6 +1,9 @@
 """Decodes the manifest of the operators and the entries that targets publish."""
 
+import ipaddress
 import json
+import math
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -24,6 +27,21 @@
 
 MAX_PORT = 65_535
 
+# Longer names are no names of the platform; the limit also bounds log lines.
+MAX_TEXT_LENGTH = 200
+
+# Longer times have no use in an overload control layer and overflow timers.
+MAX_DURATION_S = 7 * 24 * 3600.0
+
+# Part of the description of a malformed value that is logged.
+MAX_DETAIL_LENGTH = 200
+
+_VERSION = re.compile(r"[0-9a-fA-F]{8}", re.ASCII)
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?", re.ASCII)
+# Printable ASCII without spaces, which is safe in a header of a request.
+_TOKEN = re.compile(r"[\x21-\x7e]+", re.ASCII)
+
 # Raised by the functions below for a value of the wrong type or format.
 DECODE_ERRORS = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 
@@ -35,6 +53,12 @@
 }
 
 
+def malformed(source: str, error: Exception) -> MalformedMessage:
+    """Return the failure for an exception, with a detail that is short enough for a log line."""
+    detail = f"{type(error).__name__}: {error}"
+    return MalformedMessage(source[:MAX_DETAIL_LENGTH], detail[:MAX_DETAIL_LENGTH])
+
+
 def duration_s(value: object) -> float:
     """Return a duration in the platform's notation, converted to seconds.
 
@@ -42,37 +66,64 @@
     1.5
     """
     if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a duration with a unit, such as 1500ms")
+        raise TypeError("not a duration with a unit, such as 1500ms")
     for unit, factor in _UNITS_S:
         number = value.removesuffix(unit)
-        if number == value or not number.replace(".", "", 1).isdecimal():
+        if number == value or not _NUMBER.fullmatch(number):
             continue
-        return float(number) * factor
-    raise ValueError(f"{value!r} is not a duration with a unit, such as 1500ms")
+        seconds = float(number) * factor
+        if seconds > MAX_DURATION_S:
+            raise ValueError(f"{value!r} is longer than {MAX_DURATION_S:.0f} s")
+        return seconds
+    raise ValueError(f"{value[:40]!r} is not a duration with a unit, such as 1500ms")
 
 
 def endpoint(value: object) -> Endpoint:
-    """Return the endpoint for an address of the form host:port."""
-    host, _, port = non_empty_text(value).rpartition(":")
-    number = int(port)
-    if not host or not 0 < number <= MAX_PORT:
-        raise ValueError(f"{value!r} is not an address of the form host:port")
-    return Endpoint(host, number)
+    """Return the endpoint for an address of the form host:port, where host is an IPv4 address.
+
+    A host name is rejected because looking it up would block.
+    """
+    host, _, port = token(value).rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{port!r} is not a port from 1 to {MAX_PORT}")
+    return Endpoint(host, int(port))
 
 
 def non_empty_text(value: object) -> str:
-    """Return the value if it is a non-empty string."""
+    """Return the value if it is a non-empty string that can be encoded and is not too long."""
     if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a non-empty string")
+        raise TypeError("not a non-empty string")
+    if len(value) > MAX_TEXT_LENGTH:
+        raise ValueError(f"longer than {MAX_TEXT_LENGTH} characters")
+    value.encode()
     return value
 
 
+def token(value: object) -> str:
+    """Return the value if it is a string that can be sent as the value of a header."""
+    text = non_empty_text(value)
+    if not _TOKEN.fullmatch(text):
+        raise ValueError(f"{text!r} contains spaces or characters other than printable ASCII")
+    return text
+
+
+def finite_number(value: object) -> float:
+    """Return the value as a float if it is a finite number that is not negative."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError("not a number")
+    number = float(value)
+    if not math.isfinite(number) or number < 0.0:
+        raise ValueError(f"{number} is not a finite number from 0")
+    return number
+
+
 def bounded_integer(value: object, minimum: int, maximum: int) -> int:
     """Return the value if it is an integer within the bounds."""
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not an integer")
+        raise TypeError("not an integer")
     if not minimum <= value <= maximum:
-        raise ValueError(f"{value} is not between {minimum} and {maximum}")
+        raise ValueError(f"not an integer from {minimum} to {maximum}")
     return value
 
 
@@ -95,7 +146,8 @@
         warm_up_s = duration_s(table["warmupLeft"])
         return Success(
             TargetEntry(
-                incarnation=incarnation,
+                # The incarnation is sent as a header of each request to the target.
+                incarnation=token(incarnation),
                 service=non_empty_text(table["service"]),
                 host=address.host,
                 port=address.port,
@@ -108,7 +160,7 @@
             )
         )
     except DECODE_ERRORS as error:
-        return Failure(MalformedMessage(incarnation, f"{type(error).__name__}: {error}"))
+        return Failure(malformed(incarnation, error))
 
 
 def decode_manifest(body: bytes) -> Result[Manifest, MalformedMessage]:
@@ -122,22 +174,27 @@
             services[service_settings.name] = service_settings
         return Success(
             Manifest(
-                version=int(non_empty_text(table["version"]), 16),
+                version=_version(table["version"]),
                 routes=routes,
                 services=services,
                 limits=_limits(table["limits"]),
             )
         )
     except DECODE_ERRORS as error:
-        return Failure(
-            MalformedMessage(names.MANIFEST_KEY, f"{type(error).__name__}: {error}"[:500])
-        )
+        return Failure(malformed(names.MANIFEST_KEY, error))
+
+
+def _version(value: object) -> int:
+    text = non_empty_text(value)
+    if not _VERSION.fullmatch(text):
+        raise ValueError(f"{text!r} is not a version of eight hexadecimal digits")
+    return int(text, 16)
 
 
 def _route(table: dict[str, Any]) -> RoutePolicy:
     execution = _EXECUTIONS.get(table["routeType"])
     if execution is None:
-        raise ValueError(f"{table['routeType']!r} is not a route type")
+        raise ValueError("routeType is not a route type")
     prefix = non_empty_text(table["prefix"])
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} does not begin and end with a slash")
--- a/src/jacinthsail/platform/settings.py
+++ b/src/jacinthsail/platform/settings.py
@@ -6,11 +6,18 @@
 
 from returns.result import Failure, Result, Success
 
-from jacinthsail.errors import ConfigurationError, MalformedMessage, MalformedToml
+from jacinthsail.errors import ConfigurationError, MalformedToml
 from jacinthsail.internal.model.fleet import NodeLocation
 from jacinthsail.internal.model.fleet_settings import FleetSettings, RetryBudgetSettings
 from jacinthsail.internal.model.settings import Endpoint
-from jacinthsail.platform.decoding import DECODE_ERRORS, duration_s, endpoint, non_empty_text
+from jacinthsail.platform.decoding import (
+    DECODE_ERRORS,
+    duration_s,
+    endpoint,
+    finite_number,
+    malformed,
+    non_empty_text,
+)
 
 # deploy/system.toml declares this port for the metrics of a node.
 METRICS_PORT = 9464
@@ -29,12 +36,12 @@
     """Return the settings from the text of a file; unknown keys are ignored."""
     try:
         table = tomllib.loads(body)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return Failure(MalformedToml(source, str(error)))
     try:
         return Success(PlatformSettings(_node_settings(table), _regions(table)))
     except DECODE_ERRORS as error:
-        return Failure(MalformedMessage(source, f"{type(error).__name__}: {error}"))
+        return Failure(malformed(source, error))
 
 
 def _regions(table: dict[str, Any]) -> Mapping[str, str]:
@@ -65,10 +72,10 @@
         metrics=Endpoint(host, METRICS_PORT),
         budget=RetryBudgetSettings(
             # Retries per first attempt in a window.
-            ratio=float(bounds["retryBudgetRatio"]),
+            ratio=finite_number(bounds["retryBudgetRatio"]),
             window_s=duration_s(bounds["budgetWindow"]),
             # Retries that a window allows in addition to the ratio.
-            extra=float(bounds["budgetExtra"]),
+            extra=finite_number(bounds["budgetExtra"]),
         ),
         # The time between the stop signal and the end of the process.
         grace_s=duration_s(bounds["grace"]),
--- a/src/jacinthsail/platform/store.py
+++ b/src/jacinthsail/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import logging
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote
@@ -19,6 +20,7 @@
 from jacinthsail.internal.model.store import (
     HistoryCompacted,
     ManifestPublished,
+    PublishedItem,
     StoreChange,
     StoreDelta,
     StoreResponse,
@@ -29,13 +31,25 @@
     UndecodableItem,
 )
 from jacinthsail.platform import names
-from jacinthsail.platform.decoding import DECODE_ERRORS, decode_manifest, decode_target
+from jacinthsail.platform.decoding import (
+    DECODE_ERRORS,
+    bounded_integer,
+    decode_manifest,
+    decode_target,
+    malformed,
+    token,
+)
+
+_LOG = logging.getLogger("jacinthsail.store")
 
 # The store responds within milliseconds, a slow store within a few hundred. A read that times out
 # is retried soon enough for a change made after an outage of the store to be in force within 2 s.
 RESPONSE_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 
+# Revisions are sent between nodes as 64-bit numbers.
+MAX_REVISION = 2**63 - 1
+
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
 
@@ -56,8 +70,7 @@
         The snapshot has the revision of the first page, so that the changes made while the later
         pages are read are returned by ``read_changes``.
         """
-        changes: list[StoreChange] = []
-        listed: set[str] = set()
+        items: list[PublishedItem] = []
         revision: int | None = None
         after = ""
         while True:
@@ -65,15 +78,15 @@
             if isinstance(page, StoreUnavailable):
                 return page
             try:
-                for item in page["items"]:
-                    self._decode_item(item, changes, listed)
-                    after = item["key"]
+                listed = page["items"]
+                _append_items(listed, items)
                 if revision is None:
-                    revision = int(page["asOf"])
-                if not page["hasMore"] or not page["items"]:
-                    return StoreSnapshot(tuple(changes), frozenset(listed), revision)
+                    revision = _revision(page["asOf"])
+                if not page["hasMore"] or not listed:
+                    return StoreSnapshot(tuple(items), revision)
+                after = _last_key(listed)
             except DECODE_ERRORS as error:
-                return StoreUnavailable(f"undecodable page: {type(error).__name__}: {error}")
+                return StoreUnavailable(f"undecodable page: {malformed('', error).detail}")
 
     async def read_changes(self, after: int, wait_s: float) -> StoreResponse:
         """Read the changes after a revision, waiting up to ``wait_s`` for the first one."""
@@ -82,50 +95,33 @@
         response = await self._get(path, wait_s + RESPONSE_TIMEOUT_S)
         if isinstance(response, StoreUnavailable):
             return HistoryCompacted() if response.status == STATUS_HISTORY_GONE else response
-        changes: list[StoreChange] = []
-        try:
-            for event in response["events"]:
-                self._decode_item(event, changes, set())
-            return StoreDelta(tuple(changes), int(response["asOf"]))
-        except DECODE_ERRORS as error:
-            return StoreUnavailable(f"undecodable changes: {type(error).__name__}: {error}")
-
-    def _decode_item(self, item: Any, changes: list[StoreChange], listed: set[str]) -> None:
-        """Decode one item or event into ``changes``; add a listed target to ``listed``.
-
-        A malformed value does not affect the other items.
-        """
-        key = item["key"]
-        if not isinstance(key, str):
-            raise TypeError(f"key {key!r} is not a string")
-        incarnation = key.removeprefix(names.TARGETS_PREFIX)
-        if incarnation != key:
-            listed.add(incarnation)
-        if item.get("deleted"):
-            if incarnation != key:
-                changes.append(TargetRemoved(incarnation))
-            return
-        if key != names.MANIFEST_KEY and incarnation == key:
-            return
+        items: list[PublishedItem] = []
         try:
-            value = base64.b64decode(item["value"], validate=True)
+            _append_items(response["events"], items)
+            return StoreDelta(tuple(items), after, _revision(response["asOf"]))
         except DECODE_ERRORS as error:
-            changes.append(UndecodableItem(key, f"{type(error).__name__}: {error}"))
-            return
-        changes.append(self._decode_value(key, incarnation, value))
-
-    def _decode_value(self, key: str, incarnation: str, value: bytes) -> StoreChange:
-        if key == names.MANIFEST_KEY:
-            match decode_manifest(value):
+            return StoreUnavailable(f"undecodable changes: {malformed('', error).detail}")
+
+    def decode(self, item: PublishedItem) -> StoreChange:
+        """Return the change that an item stands for, whether the store or a peer sent it."""
+        incarnation = item.key.removeprefix(names.TARGETS_PREFIX)
+        if item.body is None:
+            if incarnation == item.key:
+                return UndecodableItem(item.key, "the manifest was removed")
+            return TargetRemoved(incarnation)
+        if item.key == names.MANIFEST_KEY:
+            match decode_manifest(item.body):
                 case Success(manifest):
                     return ManifestPublished(manifest)
                 case Failure(error):
-                    return UndecodableItem(key, error.detail)
-        match decode_target(incarnation, value, self.regions):
+                    return UndecodableItem(item.key, error.detail)
+        if incarnation == item.key:
+            return UndecodableItem(item.key, "neither the manifest nor a target")
+        match decode_target(incarnation, item.body, self.regions):
             case Success(entry):
                 return TargetPublished(entry)
             case Failure(error):
-                return UndecodableItem(key, error.detail)
+                return UndecodableItem(item.key, error.detail)
         raise AssertionError("a result is a success or a failure")
 
     async def _get(self, path: str, timeout_s: float = RESPONSE_TIMEOUT_S) -> Any:
@@ -142,8 +138,8 @@
             return StoreUnavailable(f"status {result.status}", result.status)
         try:
             return json.loads(result.body)
-        except ValueError as error:
-            return StoreUnavailable(f"undecodable response: {error}")
+        except DECODE_ERRORS as error:
+            return StoreUnavailable(f"undecodable response: {malformed('', error).detail}")
 
     async def _exchange(self, connection: HttpClientConnection, path: str) -> ExchangeResult:
         waiter: asyncio.Future[HttpClientResponse | BrokenExchange] = (
@@ -176,5 +172,51 @@
         self.connection = None
 
 
+def _append_items(listed: Any, items: list[PublishedItem]) -> None:
+    """Append the manifest and the targets among the listed items or events.
+
+    An item without a valid key and revision is skipped, so that it does not hide the others.
+    """
+    if not isinstance(listed, list):
+        raise TypeError("the list of items is not a list")
+    skipped = 0
+    for raw in listed:
+        try:
+            item = _published_item(raw)
+        except DECODE_ERRORS:
+            skipped += 1
+            continue
+        if item.key == names.MANIFEST_KEY or item.key.startswith(names.TARGETS_PREFIX):
+            items.append(item)
+    if skipped:
+        _LOG.warning("ignoring %d store items without a valid key and revision", skipped)
+
+
+def _published_item(raw: Any) -> PublishedItem:
+    key = token(raw["key"])
+    revision = _revision(raw["revision"])
+    if raw.get("deleted") is True:
+        return PublishedItem(key, revision, None)
+    try:
+        return PublishedItem(key, revision, base64.b64decode(raw["value"], validate=True))
+    except DECODE_ERRORS:
+        # No manifest or target decodes from an empty body, so the item is refused and logged once.
+        return PublishedItem(key, revision, b"")
+
+
+def _revision(value: object) -> int:
+    return bounded_integer(value, 0, MAX_REVISION)
+
+
+def _last_key(listed: list[Any]) -> str:
+    """Return the last valid key of a page, after which the next page begins."""
+    for raw in reversed(listed):
+        try:
+            return token(raw["key"])
+        except DECODE_ERRORS:
+            continue
+    raise ValueError("no item of the page has a valid key")
+
+
 def _ignore(_connection: HttpClientConnection) -> None:
     """Ignore state changes of the connection, as no requests are queued for it."""
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -317,7 +317,7 @@
             testbed.store.put("op/config", b"not json")
             testbed.store.put("servers/i-9", b"{}")
             await testbed.wait_until(
-                lambda: testbed.nodes[1].fleet["revision"] == testbed.store.revision
+                lambda: testbed.nodes[1].copy["revision"] == testbed.store.revision
             )
             self.assertEqual(testbed.nodes[1].fleet["manifest"].version, 2)
             self.assertNotIn("i-9", testbed.nodes[1].fleet["targets"])
--- a/tests/fast/test_store_reading.py
+++ b/tests/fast/test_store_reading.py
@@ -3,13 +3,16 @@
 import unittest
 from random import Random
 
+from jacinthsail.internal.commands.store_copy import record_copied, record_items
 from jacinthsail.internal.commands.store_reading import (
-    apply_store_response,
+    apply_changes,
+    record_response,
     remove_unconfirmed_targets,
 )
 from jacinthsail.internal.model.store import (
     HistoryCompacted,
     ManifestPublished,
+    PublishedItem,
     ReadChanges,
     ReadSnapshot,
     StoreDelta,
@@ -19,6 +22,7 @@
     TargetRemoved,
 )
 from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_reading import (
     MAX_WATCH_WAIT_S,
     new_read_state,
@@ -31,46 +35,62 @@
 APPLY_WITHIN_S = 2.0
 
 
+def item(name, revision, body=b"x"):
+    return PublishedItem(name, revision, body)
+
+
 class StoreReadingTest(unittest.TestCase):
     def setUp(self):
         self.fleet = new_fleet(LOCATION)
         self.reading = new_read_state()
-        self.apply(StoreSnapshot((TargetPublished(target("a")),), frozenset({"a"}), 5), 0.0)
+        self.copy = new_store_copy()
+        self.published = {}
+        self.apply(StoreSnapshot((item("a", 5),), 5), 0.0, TargetPublished(target("a")))
 
-    def apply(self, response, now):
-        apply_store_response(response, self.reading, self.fleet, now)
+    def apply(self, response, now, *changes):
+        """Apply a response of the store, whose items decode to the changes."""
+        record_response(response, self.reading, self.fleet, now)
+        if not isinstance(response, StoreSnapshot | StoreDelta):
+            return
+        for change, published in zip(changes, response.items, strict=True):
+            self.published[published] = change
+        items = items_to_apply(response, self.copy)
+        decoded = [self.published.get(one, TargetRemoved(one.key)) for one in items]
+        record_items(self.copy, items)
+        record_copied(response, self.copy)
+        apply_changes(decoded, self.fleet, now)
 
     def test_deltas_follow_the_snapshot(self):
         """A gap between the snapshot and the watch would hide a target removed in between."""
-        self.assertEqual(next_read(self.reading, self.fleet), ReadChanges(5, MAX_WATCH_WAIT_S))
+        self.assertEqual(next_read(self.reading, self.copy), ReadChanges(5, MAX_WATCH_WAIT_S))
         self.apply(HistoryCompacted(), 1.0)
-        self.assertEqual(next_read(self.reading, self.fleet), ReadSnapshot())
+        self.assertEqual(next_read(self.reading, self.copy), ReadSnapshot())
 
     def test_recovered_store_is_read_in_time(self):
         """A watch lost in an outage could last longer than changes may take to be in force."""
         longest_s = 0.0
         for _ in range(20):
             self.apply(StoreUnavailable("silent"), 1.0)
-            read = next_read(self.reading, self.fleet)
+            read = next_read(self.reading, self.copy)
             self.assertEqual(read, ReadChanges(5, 0.0))
             longest_s = max(longest_s, read_delay_s(self.reading, Random(1)))
         self.assertLess(longest_s + MAX_WATCH_WAIT_S, APPLY_WITHIN_S)
 
     def test_versions_never_go_back(self):
         """A stale response would restore a route that was removed."""
-        self.apply(StoreDelta((ManifestPublished(manifest(7)),), 6), 1.0)
-        self.apply(StoreDelta((ManifestPublished(manifest(6)),), 7), 2.0)
+        self.apply(StoreDelta((item("m", 6),), 5, 6), 1.0, ManifestPublished(manifest(7)))
+        self.apply(StoreDelta((item("m", 7),), 6, 7), 2.0, ManifestPublished(manifest(6)))
         self.assertEqual(self.fleet["manifest"].version, 7)
 
     def test_removed_target_is_dropped_at_once(self):
         """A removed target would still get new requests."""
-        self.apply(StoreDelta((TargetRemoved("a"),), 6), 1.0)
+        self.apply(StoreDelta((item("a", 6, None),), 5, 6), 1.0, TargetRemoved("a"))
         self.assertEqual(self.fleet["targets"], {})
 
     def test_target_whose_entry_expired_in_an_outage_is_kept_for_a_grace_period(self):
         """The entries of all targets of a service can expire in an outage while they serve."""
         self.apply(StoreUnavailable("silent"), 1.0)
-        self.apply(StoreDelta((TargetRemoved("a"),), 6), 9.0)
+        self.apply(StoreDelta((item("a", 6, None),), 5, 6), 9.0, TargetRemoved("a"))
         remove_unconfirmed_targets(self.fleet, 10.9)
         self.assertIn("a", self.fleet["targets"])
         remove_unconfirmed_targets(self.fleet, 11.1)
@@ -79,13 +99,13 @@
     def test_target_published_again_after_an_outage_stays(self):
         """A target that is published again would be dropped at the end of the grace period."""
         self.apply(StoreUnavailable("silent"), 1.0)
-        self.apply(StoreDelta((TargetRemoved("a"),), 6), 9.0)
-        self.apply(StoreDelta((TargetPublished(target("a")),), 7), 10.0)
+        self.apply(StoreDelta((item("a", 6, None),), 5, 6), 9.0, TargetRemoved("a"))
+        self.apply(StoreDelta((item("a", 7),), 6, 7), 10.0, TargetPublished(target("a")))
         remove_unconfirmed_targets(self.fleet, 12.0)
         self.assertIn("a", self.fleet["targets"])
 
     def test_snapshot_drops_targets_that_it_does_not_name(self):
         """A target removed in the compacted part of the history would never be dropped."""
         self.apply(HistoryCompacted(), 1.0)
-        self.apply(StoreSnapshot((TargetPublished(target("b")),), frozenset({"b"}), 9), 1.1)
+        self.apply(StoreSnapshot((item("b", 8),), 9), 1.1, TargetPublished(target("b")))
         self.assertEqual(set(self.fleet["targets"]), {"b"})
--- /dev/null
+++ b/tests/fast/test_store_sharing.py
@@ -0,0 +1,101 @@
+"""Tests that few nodes read the store and all learn its changes, with nodes on loopback."""
+
+import asyncio
+import unittest
+
+from jacinthsail.testing.platform_stand_ins import TargetStandIn
+from tests.common.platform_testbed import PlatformTestbed, manifest
+
+NODES = 6
+READERS = 2
+
+
+class StoreSharingTest(unittest.IsolatedAsyncioTestCase):
+    async def fleet(self, testbed):
+        for number in range(1, NODES + 1):
+            await testbed.add_target(number, TargetStandIn(f"i-{number}"))
+        for number in range(1, NODES + 1):
+            await testbed.add_node(number, service="seals")
+        await testbed.wait_until_listed(NODES)
+        await testbed.wait_until(lambda: len(self.readers(testbed)) == READERS)
+
+    def readers(self, testbed):
+        return [
+            number
+            for number, node in testbed.nodes.items()
+            if not node.should_stop and node.sources["reads_store"]
+        ]
+
+    async def wait_for_version(self, testbed, version):
+        for node in testbed.nodes.values():
+            if node.should_stop:
+                continue
+            await testbed.wait_until(lambda node=node: node.fleet["manifest"].version == version)
+
+    async def test_two_nodes_read_and_all_learn_a_change(self):
+        """The calls to the store would grow with the number of nodes."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            await asyncio.sleep(1.0)
+            before = testbed.store.calls
+            testbed.store.put("op/config", manifest(2))
+            await self.wait_for_version(testbed, 2)
+            await asyncio.sleep(2.0)
+            # Each of two readers calls at most once per pause of 0.4 s.
+            self.assertLessEqual(testbed.store.calls - before, READERS * 5 + 2)
+
+    async def test_change_is_learned_after_both_readers_ended(self):
+        """The other nodes would keep the manifest that they had."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            for number in self.readers(testbed):
+                node = testbed.nodes.pop(number)
+                node.settings = node.settings._replace(grace_s=0.0)
+                await node.stop()
+            testbed.store.put("op/config", manifest(2))
+            await self.wait_for_version(testbed, 2)
+
+    async def test_change_is_learned_while_the_readers_are_silent(self):
+        """A frozen reader keeps its connections open; its followers would wait for it."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            for number in self.readers(testbed):
+                node = testbed.nodes.pop(number)
+                # The connections stay open, but nothing is sent or read any more.
+                node.exchange.close()
+                node.exchange.followers.clear()
+                node.copy["revision"] = 2**40
+                self.addAsyncCleanup(node.stop)
+                node.settings = node.settings._replace(grace_s=0.0)
+            testbed.store.put("op/config", manifest(2))
+            await self.wait_for_version(testbed, 2)
+
+    async def test_odd_entries_do_not_stop_the_followers(self):
+        """One unreadable entry of another writer could end the nodes or stop their updates."""
+        odd = (
+            b"[" * 100_000,
+            b'{"concurrency": ' + b"9" * 10_000 + b"}",
+            b'{"service": "seals", "address": "127.7.1.9:70000", "zone": "manila",'
+            b' "concurrency": 1, "state": "ready", "warmupLeft": "0ms"}',
+            b"\xff\xfe",
+            b"null",
+        )
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            for number, body in enumerate(odd):
+                testbed.store.put(f"servers/odd-{number}", body)
+            testbed.store.put("op/config", manifest(2))
+            await self.wait_for_version(testbed, 2)
+            testbed.store.drop_history()
+            testbed.store.put("op/config", manifest(3))
+            await self.wait_for_version(testbed, 3)
+            for node in testbed.nodes.values():
+                self.assertEqual(len(node.fleet["targets"]), NODES)
+
+    async def test_removed_target_leaves_every_node(self):
+        """A node that follows others would send requests to a target that has left."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            testbed.store.delete("servers/i-1")
+            for node in testbed.nodes.values():
+                await testbed.wait_until(lambda node=node: "i-1" not in node.fleet["targets"])
--- /dev/null
+++ b/tests/fast/test_store_sources.py
@@ -0,0 +1,204 @@
+"""Tests which nodes read the store, whom the others follow, and how copies are merged."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthsail.internal.commands.store_copy import record_copied, record_items
+from jacinthsail.internal.commands.store_sources import (
+    add_source,
+    record_report,
+    record_source_lost,
+    set_followers,
+    update_order,
+)
+from jacinthsail.internal.model.store import PublishedItem, StoreDelta, StoreSnapshot
+from jacinthsail.internal.queries.membership import WATCHERS_PER_DOMAIN
+from jacinthsail.internal.queries.store_copy import (
+    MAX_REMOVALS,
+    MAX_REVISION_STEP,
+    changes_since,
+    follows,
+    is_newer,
+    is_plausible,
+    items_to_apply,
+    new_store_copy,
+)
+from jacinthsail.internal.queries.store_reading import new_read_state
+from jacinthsail.internal.queries.store_sources import (
+    FALLBACK_DELAY_S,
+    MAX_SOURCES,
+    SOURCE_SILENCE_S,
+    SOURCE_TRIAL_S,
+    must_read_store,
+    new_store_sources,
+    preferred_sources,
+    source_changes,
+)
+from tests.common.fleets import LOCATION, fleet, target
+
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=200)
+
+HOSTS = tuple(f"10.0.0.{number}" for number in range(1, 25))
+
+
+class StoreSourcesTest(unittest.TestCase):
+    def setUp(self):
+        self.reading = new_read_state()
+        self.state = new_store_sources()
+        update_order(self.state, fleet(*(target(host, host) for host in HOSTS)))
+        self.own = self.state["order"][-1]
+
+    def preferred(self, now):
+        return preferred_sources(self.state, self.reading, self.own, now)
+
+    def follow_preferred(self, now, is_current=True):
+        for host in self.preferred(now):
+            if host not in self.state["sources"]:
+                add_source(self.state, host, now)
+            record_report(self.state, host, is_current, now)
+
+    def test_all_nodes_of_a_domain_agree_on_few_readers(self):
+        """If each node read the store, the calls would grow with the fleet."""
+        chosen = set()
+        for host in HOSTS:
+            chosen.add(preferred_sources(self.state, self.reading, host, 0.0))
+        self.assertEqual(chosen, {self.state["order"][:WATCHERS_PER_DOMAIN]})
+
+    def test_targets_of_other_domains_are_no_readers(self):
+        """A domain that is cut off from the others would have no reader."""
+        update_order(self.state, fleet(target("x", "10.1.0.1", failure_domain="davao")))
+        self.assertEqual(self.state["order"], (LOCATION.host,))
+
+    def test_lone_node_reads_the_store(self):
+        """A node without peers would never learn of a change."""
+        update_order(self.state, fleet())
+        self.assertTrue(must_read_store(self.state, self.reading, LOCATION.host, 0.0, 0.0))
+
+    def test_lost_reader_is_replaced_by_the_next_one(self):
+        """A change would arrive through one reader only, and not at all if that one failed too."""
+        self.follow_preferred(0.0)
+        first, second, third = self.state["order"][:3]
+        record_source_lost(self.state, first, 1.0)
+        self.assertEqual(self.preferred(1.0), (second, third))
+
+    def test_silent_reader_is_replaced(self):
+        """A frozen reader keeps its connection open and sends nothing."""
+        self.follow_preferred(0.0)
+        now = SOURCE_SILENCE_S + 0.1
+        self.assertEqual(
+            set(source_changes(self.state, self.reading, self.own, now).replace),
+            set(self.state["order"][:2]),
+        )
+
+    def test_reader_that_the_store_turns_away_gets_a_substitute(self):
+        """The store may refuse some nodes and serve others."""
+        self.follow_preferred(0.0, is_current=False)
+        now = SOURCE_TRIAL_S + 0.1
+        changes = source_changes(self.state, self.reading, self.own, now)
+        self.assertEqual(changes.follow, self.state["order"][2:4])
+        self.assertEqual(changes.unfollow, ())
+
+    def test_outage_of_the_store_recruits_few_readers(self):
+        """All nodes of the domain would call the store again and again while it is down."""
+        now = 0.0
+        for _ in range(40):
+            self.follow_preferred(now, is_current=False)
+            now += SOURCE_TRIAL_S
+        self.assertLessEqual(len(self.state["sources"]), MAX_SOURCES)
+
+    def test_node_without_a_working_source_reads_the_store(self):
+        """A node that is cut off from its peers would follow nobody."""
+        self.follow_preferred(0.0)
+        self.assertFalse(must_read_store(self.state, self.reading, self.own, 0.0, 1.0))
+        self.assertTrue(
+            must_read_store(self.state, self.reading, self.own, 0.0, FALLBACK_DELAY_S + 0.1)
+        )
+
+    def test_followed_node_reads_the_store(self):
+        """A node recruited by another one would have nothing to report."""
+        self.follow_preferred(0.0)
+        set_followers(self.state, 1)
+        self.assertTrue(must_read_store(self.state, self.reading, self.own, 0.0, 0.1))
+
+
+def item(key, revision, body=b"x"):
+    return PublishedItem(key, revision, body)
+
+
+def apply(copy, update):
+    """Apply an update as a node does; ignore it if it is not newer or leaves a gap."""
+    if not is_newer(copy, update) or not follows(update, copy):
+        return
+    items = items_to_apply(update, copy)
+    record_items(copy, items)
+    record_copied(update, copy)
+
+
+class StoreCopyTest(unittest.TestCase):
+    def copy(self, *updates):
+        copy = new_store_copy()
+        for update in updates:
+            apply(copy, update)
+        return copy
+
+    def test_lagging_source_does_not_revive_a_removed_target(self):
+        """A target that has left would be used again after a report of a slower reader."""
+        copy = self.copy(StoreSnapshot((item("a", 3),), 5), StoreDelta((item("a", 8, None),), 5, 9))
+        apply(copy, StoreDelta((item("a", 7),), 5, 8))
+        apply(copy, StoreSnapshot((item("a", 7),), 7))
+        self.assertEqual(copy["items"], {})
+        self.assertEqual(copy["revision"], 9)
+
+    def test_update_that_leaves_a_gap_is_refused(self):
+        """The changes in the gap would never be learned."""
+        copy = self.copy(StoreSnapshot((), 5))
+        self.assertFalse(follows(StoreDelta((), 6, 9), copy))
+
+    def test_node_that_lags_behind_the_kept_removals_gets_a_snapshot(self):
+        """A removal that is no longer kept would be missing in a list of changes."""
+        removals = tuple(item(f"k{n}", 10 + n, None) for n in range(MAX_REMOVALS + 1))
+        copy = self.copy(StoreSnapshot((), 5), StoreDelta(removals, 5, 10_000))
+        self.assertIsInstance(changes_since(copy, 9), StoreSnapshot)
+        self.assertIsInstance(changes_since(copy, 10), StoreDelta)
+
+    def test_revision_far_beyond_the_store_is_refused(self):
+        """A faulty peer could hide all later changes with one large number."""
+        copy = self.copy(StoreSnapshot((), 5))
+        self.assertFalse(is_plausible(copy, StoreDelta((), 5, 6 + MAX_REVISION_STEP)))
+        self.assertFalse(is_plausible(copy, StoreDelta((item("a", 2**62),), 5, 6)))
+        self.assertTrue(is_plausible(copy, StoreDelta((item("a", 6),), 5, 6)))
+
+    @DETERMINISTIC
+    @given(
+        st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), min_size=1, max_size=20),
+        st.lists(st.tuples(st.integers(0, 2), st.integers(0, 3)), max_size=40),
+    )
+    def test_every_node_ends_at_the_newest_revision(self, writes, steps):
+        """Lost, repeated and reordered reports must not leave a node with an older copy."""
+        history = []
+        for revision, (key, is_removal) in enumerate(writes, 1):
+            history.append(item(key, revision, None if is_removal else b"%d" % revision))
+        nodes = [new_store_copy() for _ in range(3)]
+        for copy in nodes:
+            apply(copy, StoreSnapshot((), 0))
+        for number, action in steps:
+            copy = nodes[number]
+            known = copy["revision"]
+            if action == 0:
+                newest = min(len(history), known + 3)
+                apply(copy, StoreDelta(tuple(history[known:newest]), known, newest))
+                continue
+            # With actions 2 and 3 the report is late: it stems from before the peer's last read.
+            peer = nodes[(number + action) % 3]
+            apply(copy, changes_since(peer, max(0, known - action)))
+        for copy in nodes:
+            known = copy["revision"]
+            apply(copy, StoreDelta(tuple(history[known:]), known, len(history)))
+        newest = {}
+        for change in history:
+            newest[change.key] = change
+        expected = {key: one for key, one in newest.items() if one.body is not None}
+        for copy in nodes:
+            self.assertEqual(copy["items"], expected)
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -16,6 +16,7 @@
     CallReply,
     CallRequest,
     Cancel,
+    FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
     Goodbye,
@@ -25,11 +26,14 @@
     ItemRequest,
     Ping,
     Pong,
+    StoreReport,
+    UnfollowStore,
     VersionOffer,
 )
 from jacinthsail.internal.model.replication import Item, ItemVersion
 from jacinthsail.internal.model.request_state import ForwardedRequest, ForwardedResponse
 from jacinthsail.internal.model.retry_budget import RetryKind
+from jacinthsail.internal.model.store import PublishedItem, StoreDelta, StoreSnapshot
 from tests.common.call_factories import call_context
 
 MESSAGES = (
@@ -70,6 +74,12 @@
     ForwardReplyMessage(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LoadReport(3, 4, 5, 0.25, 0.5)),
     Ping(),
     Pong(LoadReport(3, 4, 5, 0.25, 0.5)),
+    FollowStore(2**63 - 1),
+    UnfollowStore(),
+    StoreReport(
+        StoreDelta((PublishedItem("k", 7, b"body"), PublishedItem("l", 8, None)), 6, 9), True, 1.5
+    ),
+    StoreReport(StoreSnapshot((PublishedItem("k", 7, b""),), 9), False, None),
 )
 
 
