Take the second source of a node from the next failure domain

Change: one reader per domain; each node follows it and the reader of the next domain of its region.

--- a/src/jacinthsail/internal/queries/store_sources.py
+++ b/src/jacinthsail/internal/queries/store_sources.py
@@ -1,14 +1,21 @@
 """Decides which nodes read the store and from which nodes the others learn its changes.
 
-The first nodes in an order that all nodes of a failure domain share read the store. Each node
-follows two of them, so a change still arrives at once while one of them fails. A node that finds a
-reader not working follows the next in the order, which then starts to read.
+The first node in an order that all nodes of a failure domain share reads the store. Each node
+follows it and the reader of a neighbouring domain, so a change still arrives at once while one of
+them fails. A node that finds a reader not working follows the next in the order, which then starts
+to read.
 """
 
+from collections.abc import Mapping
+from itertools import zip_longest
+
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import StoreReadState
 from jacinthsail.internal.model.store_sources import SourceChanges, SourceState, StoreSources
-from jacinthsail.internal.queries.membership import WATCHERS_PER_DOMAIN, rendezvous_score
+from jacinthsail.internal.queries.membership import rendezvous_score
+
+# With two sources, the failure of one delays no change.
+SOURCES_PER_NODE = 2
 
 # Bounds the number of readers while the store itself is unavailable and no reader works.
 MAX_SOURCES = 4
@@ -44,14 +51,33 @@
 
 
 def reader_order(fleet: FleetState) -> tuple[str, ...]:
-    """Return the hosts of this node's failure domain in the order of preference as readers."""
+    """Return the hosts that may read the store for this node, in the order of preference.
+
+    Hosts of the own failure domain alternate with those of the next domain of the region, so that
+    one reader per domain is enough for two sources per node. A domain that is cut off from the
+    others still finds both sources among its own hosts.
+    """
     location = fleet["location"]
-    hosts = {location.host}
+    hosts: dict[str, set[str]] = {location.failure_domain: {location.host}}
     for entry in fleet["targets"].values():
-        if entry.failure_domain == location.failure_domain and not entry.is_draining:
-            hosts.add(entry.host)
-    domain = location.failure_domain
-    return tuple(sorted(hosts, key=lambda host: (-rendezvous_score(domain, host), host)))
+        if entry.region == location.region and not entry.is_draining:
+            hosts.setdefault(entry.failure_domain, set()).add(entry.host)
+    own = _by_preference(location.failure_domain, hosts)
+    neighbours = _by_preference(_next_domain(location.failure_domain, hosts), hosts)
+    order: list[str] = []
+    for pair in zip_longest(own, neighbours):
+        order.extend(host for host in pair if host is not None and host not in order)
+    return tuple(order)
+
+
+def _next_domain(domain: str, hosts: Mapping[str, set[str]]) -> str:
+    """Return the domain that follows in the sorted circle of domains; it may be the same one."""
+    domains = sorted(hosts)
+    return domains[(domains.index(domain) + 1) % len(domains)]
+
+
+def _by_preference(domain: str, hosts: Mapping[str, set[str]]) -> list[str]:
+    return sorted(hosts[domain], key=lambda host: (-rendezvous_score(domain, host), host))
 
 
 def preferred_sources(
@@ -65,7 +91,7 @@
     preferred: list[str] = []
     working = 0
     for host in state["order"]:
-        if working >= WATCHERS_PER_DOMAIN or len(preferred) >= MAX_SOURCES:
+        if working >= SOURCES_PER_NODE or len(preferred) >= MAX_SOURCES:
             break
         if now < state["suspected_until"].get(host, 0.0):
             continue
