Pause longer between two reads of the store

Change: a reader pauses 0.8 s after each read; a change that comes just after a read is still in force within 1 s.

--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -11,8 +11,8 @@
 )
 
 # Entries change with every heartbeat of a target, so a watch that is renewed at once would return
-# many times a second. Changes must be in force within 2 s.
-WATCH_PAUSE_S = 0.4
+# many times a second. A longer pause would delay changes, which must be in force within 2 s.
+WATCH_PAUSE_S = 0.8
 
 # A watch returns after this time even if nothing changes. An unresponsive store is detected only
 # then, and changes must be in force within 2 s of its recovery.
