Count a response as late only if it leaves too little time for its return

Change: a response is late if it leaves less than 0.1 s, or less than 30% of a short goal, for its return.

--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -32,9 +32,10 @@
 # Maximum number of queued requests as a multiple of the slots; bounds memory.
 MAX_WAITING_PER_SLOT = 20
 
-# A response is late if it takes longer than this share of ``latency_goal_s``; the rest allows for
-# the delay that the caller's node and the links add.
-ON_TIME_SHARE = 0.7
+# A response is late if it leaves less than this share of ``latency_goal_s``, and less than this
+# time, for the delay that the caller's node and the links add.
+RETURN_SHARE = 0.3
+MAX_RETURN_S = 0.1
 
 # Responses that left the target before a lower limit took effect must not lower it a second time.
 LOWERING_INTERVAL_S = 0.1
@@ -233,7 +234,8 @@
 
 def is_on_time(forwarded: ForwardedRequest, duration_s: float) -> bool:
     """Return whether a response is on time, leaving a margin for the links to the caller."""
-    return duration_s <= ON_TIME_SHARE * forwarded.latency_goal_s
+    goal_s = forwarded.latency_goal_s
+    return duration_s <= goal_s - min(RETURN_SHARE * goal_s, MAX_RETURN_S)
 
 
 def is_latency_sample(
