Report durations and queue waits of new requests and nested calls apart

Its nodes reported one mean duration, of up to 0.5 s, so short calls left their failure domain for targets with fewer long requests.

Change: a load report gives duration and expected wait for each kind, the wait as the queue itself computes it; calls sent since the report are added. The load of the local target is known without a report.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -23,6 +23,7 @@
     advance_split,
     record_call_end,
     record_call_sent,
+    record_load,
     record_node_draining,
     record_node_not_ready,
     record_target_outcome,
@@ -75,6 +76,7 @@
 )
 from jacinthsail.internal.queries.queue_wait import latency_goal_s, max_queue_wait_s
 from jacinthsail.internal.queries.target_choice import choose_target, failure_rate_elsewhere
+from jacinthsail.internal.queries.target_queue import load_report
 
 # A caller gets a timeout this long after the deadline of its request. A target responds no later
 # than the deadline that it was given, and its response needs time to arrive.
@@ -167,6 +169,12 @@
         open_request.send(now)
         return open_request
 
+    def record_local_load(self, incarnation: str, now: float) -> None:
+        """Update the load of the target if it is the local one, which no peer reports."""
+        target = self.fleet["targets"].get(incarnation)
+        if target is not None and target.host == self.location.host:
+            record_load(self.fleet, incarnation, load_report(self.local_target.queue), now)
+
 
 class OpenRequest:
     """A request of a caller that awaits its response.
@@ -263,6 +271,7 @@
         incarnation = self.request_state["current_target"]
         self.handle = None
         record_call_end(self.entry.fleet, incarnation)
+        self.entry.record_local_load(incarnation, now)
         if self.respond is None:
             return
         _record_outcome(outcome, self, incarnation, now)
--- a/src/jacinthsail/internal/adapters/forward_records.py
+++ b/src/jacinthsail/internal/adapters/forward_records.py
@@ -9,7 +9,7 @@
 from functools import singledispatch
 
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
-from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.messages import ForwardReplyMessage, ForwardRequestMessage
 from jacinthsail.internal.model.request_state import ForwardedRequest, ForwardedResponse
 from jacinthsail.internal.model.retry_budget import RetryKind
@@ -20,9 +20,10 @@
 _REQUEST = struct.Struct("<QBBIIIIHHIHHI")
 
 # Id, kind of outcome, status, whether it was shed, retry-after in ms, then the load: in flight,
-# queued, limit, mean latency in µs and queue wait of new requests in ms, then the length of the
-# header lines in bytes. The header lines and the body follow, or the reason as text.
-_REPLY = struct.Struct("<QBHBIIIIIII")
+# queued, limit, then mean duration and queue wait in µs of new requests and of nested calls, then
+# the length of the header lines in bytes. The header lines and the body follow, or the reason as
+# text.
+_REPLY = struct.Struct("<QBHBIIIIIIIII")
 
 _RESPONSE = 0
 _NOT_RUN = 1
@@ -35,12 +36,19 @@
 # Times and counts are encoded in 32 bits.
 MAX_UINT32 = 2**32 - 1
 
+MICROSECONDS = 1_000_000
+
 
 def milliseconds(seconds: float) -> int:
     """Return a time in whole milliseconds, limited to the encodable range."""
     return min(MAX_UINT32, max(0, int(seconds * 1000)))
 
 
+def microseconds(seconds: float) -> int:
+    """Return a time in whole microseconds, limited to the encodable range."""
+    return min(MAX_UINT32, max(0, int(seconds * MICROSECONDS)))
+
+
 def pack_request(message: ForwardRequestMessage) -> bytes:
     """Return the encoded record of a forwarded request."""
     forwarded = message.forwarded
@@ -135,8 +143,10 @@
         load.in_flight,
         load.queued,
         load.limit,
-        min(MAX_UINT32, int(load.mean_duration_s * 1_000_000)),
-        milliseconds(load.new_wait_s),
+        microseconds(load.new.duration_s),
+        microseconds(load.new.wait_s),
+        microseconds(load.nested.duration_s),
+        microseconds(load.nested.wait_s),
         len(head_lines),
     )
     return b"".join((head, head_lines, rest))
@@ -153,14 +163,22 @@
         in_flight,
         queued,
         limit,
-        mean_us,
-        new_wait_ms,
+        new_duration_us,
+        new_wait_us,
+        nested_duration_us,
+        nested_wait_us,
         head_lines_bytes,
     ) = _REPLY.unpack_from(record)
     body_at = _REPLY.size + head_lines_bytes
     if len(record) < body_at:
         raise ValueError(f"reply record is truncated: {len(record)} bytes")
-    load = LoadReport(in_flight, queued, limit, mean_us / 1_000_000, new_wait_ms / 1000)
+    load = LoadReport(
+        in_flight,
+        queued,
+        limit,
+        KindLoad(new_duration_us / MICROSECONDS, new_wait_us / MICROSECONDS),
+        KindLoad(nested_duration_us / MICROSECONDS, nested_wait_us / MICROSECONDS),
+    )
     if kind == _RESPONSE:
         head_lines = record[_REPLY.size : body_at]
         response = ForwardedResponse(status, head_lines, record[body_at:], bool(is_shed))
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -42,8 +42,10 @@
   inFlight @0 :UInt32;
   queued @1 :UInt32;
   limit @2 :UInt32;
-  meanUs @3 :UInt32;
-  newWaitMs @4 :UInt32;
+  newDurationUs @3 :UInt32;
+  newWaitUs @4 :UInt32;
+  nestedDurationUs @5 :UInt32;
+  nestedWaitUs @6 :UInt32;
 }
 
 struct PublishedItem {
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -15,6 +15,8 @@
 from jacinthsail.errors import MalformedMessage
 from jacinthsail.internal.adapters.forward_records import (
     MAX_UINT32,
+    MICROSECONDS,
+    microseconds,
     milliseconds,
     pack_reply,
     pack_request,
@@ -30,7 +32,7 @@
     Reason,
     Unknown,
 )
-from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.messages import (
     CallReply,
     CallRequest,
@@ -229,8 +231,10 @@
     builder.inFlight = load.in_flight
     builder.queued = load.queued
     builder.limit = load.limit
-    builder.meanUs = min(MAX_UINT32, int(load.mean_duration_s * 1_000_000))
-    builder.newWaitMs = milliseconds(load.new_wait_s)
+    builder.newDurationUs = microseconds(load.new.duration_s)
+    builder.newWaitUs = microseconds(load.new.wait_s)
+    builder.nestedDurationUs = microseconds(load.nested.duration_s)
+    builder.nestedWaitUs = microseconds(load.nested.wait_s)
 
 
 def _encode_version(version: ItemVersion, builder: Any) -> None:
@@ -365,8 +369,8 @@
         reader.inFlight,
         reader.queued,
         reader.limit,
-        reader.meanUs / 1_000_000,
-        reader.newWaitMs / 1000,
+        KindLoad(reader.newDurationUs / MICROSECONDS, reader.newWaitUs / MICROSECONDS),
+        KindLoad(reader.nestedDurationUs / MICROSECONDS, reader.nestedWaitUs / MICROSECONDS),
     )
 
 
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -85,6 +85,7 @@
     view = fleet["views"].get(entry.incarnation)
     if view is not None:
         view["in_flight"] += 1
+        view["sent_since_report"] += 1
 
 
 def record_call_end(fleet: FleetState, incarnation: str) -> None:
@@ -101,6 +102,7 @@
         return
     view["report"] = report
     view["reported_at"] = now
+    view["sent_since_report"] = 0
 
 
 def record_target_outcome(fleet: FleetState, incarnation: str, failed: bool, now: float) -> None:
--- a/src/jacinthsail/internal/model/fleet.py
+++ b/src/jacinthsail/internal/model/fleet.py
@@ -42,31 +42,40 @@
     target_port: int
 
 
+class KindLoad(NamedTuple):
+    """The mean duration of one kind of request at a target, and its expected queue wait."""
+
+    duration_s: float
+    wait_s: float
+
+
 class LoadReport(NamedTuple):
     """The load at a target as its node reports it.
 
-    ``mean_duration_s`` is the mean time that the target takes for a request, and ``new_wait_s`` the
-    expected queue wait of a new request.
+    New requests and nested calls are reported apart, since a target may execute long and short
+    ones of both at the same time.
     """
 
     in_flight: int
     queued: int
     limit: int
-    mean_duration_s: float
-    new_wait_s: float = 0.0
+    new: KindLoad
+    nested: KindLoad
 
 
 class TargetView(TypedDict):
     """One target as seen from this node; times are monotonic seconds.
 
-    ``in_flight`` counts the calls sent from this node that have no outcome yet, and ``failures``
-    the consecutive times that the target was unreachable. ``mean_failure_rate`` is the mean share
+    ``in_flight`` counts the calls sent from this node that have no outcome yet,
+    ``sent_since_report`` those sent since ``report`` arrived, and ``failures`` the consecutive
+    times that the target was unreachable. ``mean_failure_rate`` is the mean share
     of failed calls, as of ``mean_failure_rate_at``.
     """
 
     report: LoadReport
     reported_at: float
     in_flight: int
+    sent_since_report: int
     failures: int
     suspected_until: float
     mean_failure_rate: float
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -2,6 +2,7 @@
 
 from jacinthsail.internal.model.fleet import (
     FleetState,
+    KindLoad,
     LoadReport,
     NodeLocation,
     TargetEntry,
@@ -10,6 +11,9 @@
 from jacinthsail.internal.model.manifest import Manifest
 from jacinthsail.internal.model.membership import Distance
 
+# Assumed for a target that has not reported yet.
+INITIAL_LOAD = KindLoad(0.05, 0.0)
+
 # How long a target is avoided after a failed call; doubles with each consecutive failure.
 FIRST_SUSPICION_S = 0.5
 MAX_SUSPICION_DURATION_S = 4.0
@@ -58,9 +62,10 @@
 def new_target_view(entry: TargetEntry) -> TargetView:
     """Return the initial view of a target that this node has not called yet."""
     return TargetView(
-        report=LoadReport(0, 0, entry.slots, 0.0),
+        report=LoadReport(0, 0, entry.slots, INITIAL_LOAD, INITIAL_LOAD),
         reported_at=float("-inf"),
         in_flight=0,
+        sent_since_report=0,
         failures=0,
         suspected_until=0.0,
         mean_failure_rate=0.0,
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -7,13 +7,14 @@
 from jacinthsail.internal.model.fleet import (
     Candidate,
     FleetState,
+    KindLoad,
+    LoadReport,
     NodeLocation,
     NoTarget,
     SendToLocalTarget,
     SendToNode,
     TargetAtDistance,
     TargetChoice,
-    TargetEntry,
     TargetView,
 )
 from jacinthsail.internal.model.membership import Distance
@@ -44,9 +45,6 @@
 # An older load report no longer describes the queue, so calls may probe the target again.
 REPORT_VALID_S = 0.5
 
-# Assumed for a target that has not reported yet.
-DEFAULT_MEAN_S = 0.05
-
 # Time in which a change of the list of targets usually arrives.
 RETRY_WITHOUT_TARGET_S = 0.5
 
@@ -133,8 +131,8 @@
         view = fleet["views"][entry.incarnation]
         if now < view["draining_until"]:
             continue
-        wait_s = expected_wait_s(view, entry, kind, now)
-        expected_s = wait_s + (view["report"].mean_duration_s or DEFAULT_MEAN_S)
+        load = load_of(view["report"], kind)
+        expected_s = expected_wait_s(view, load, now) + load.duration_s
         if view["mean_failure_rate"]:
             failing_s = FAILURE_COST * request_state["route"].target_latency_s
             expected_s += failure_rate(view, now) * failing_s
@@ -146,17 +144,20 @@
     return usable
 
 
-def expected_wait_s(view: TargetView, entry: TargetEntry, kind: WorkKind, now: float) -> float:
+def load_of(report: LoadReport, kind: WorkKind) -> KindLoad:
+    """Return the part of a load report that concerns one kind of request."""
+    return report.new if kind is WorkKind.NEW else report.nested
+
+
+def expected_wait_s(view: TargetView, load: KindLoad, now: float) -> float:
     """Return the expected wait for a slot, from the last report and the calls sent since."""
     report = view["report"]
-    limit = report.limit or entry.slots
-    load = view["in_flight"]
-    new_wait_s = 0.0
-    if now - view["reported_at"] <= REPORT_VALID_S:
-        load = max(load, report.in_flight + report.queued)
-        new_wait_s = report.new_wait_s if kind is WorkKind.NEW else 0.0
-    wait_s = max(0, load + 1 - limit) * (report.mean_duration_s or DEFAULT_MEAN_S) / max(1, limit)
-    return max(wait_s, new_wait_s)
+    limit = max(1, report.limit)
+    if now - view["reported_at"] > REPORT_VALID_S:
+        return max(0, view["in_flight"] + 1 - limit) * load.duration_s / limit
+    sent = view["sent_since_report"]
+    beyond_limit = report.in_flight + report.queued + sent + 1 - limit
+    return load.wait_s + max(0, min(sent, beyond_limit)) * load.duration_s / limit
 
 
 def failure_rate_elsewhere(fleet: FleetState, request_state: RequestState, now: float) -> float:
--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -1,7 +1,7 @@
 """Queueing in front of the local target: which requests wait, start, or are rejected."""
 
 from jacinthsail.internal.model.calls import Reason
-from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.request_state import ForwardedRequest
 from jacinthsail.internal.model.retry_budget import TargetRetryBudget
 from jacinthsail.internal.model.statuses import STATUS_SERVER_ERROR, STATUS_TIMEOUT
@@ -271,23 +271,20 @@
 
 def load_report(queue: TargetQueue) -> LoadReport:
     """Return the load report for other nodes."""
-    new_requests = queue["work_queues"][WorkKind.NEW]
-    new_wait_s = 0.0
-    if new_requests["waiting"]:
-        new_wait_s = (
-            (sum(new_requests["by_rank"].values()) + 1)
-            * new_requests["mean_duration_s"]
-            / available_slots(queue, new_requests)
-        )
-    in_flight = max(1, queue["in_flight"])
-    mean_duration_s = 0.0
-    for work_queue in queue["work_queues"].values():
-        mean_duration_s += work_queue["mean_duration_s"] * work_queue["in_flight"] / in_flight
     return LoadReport(
         queue["in_flight"],
         len(queue["waiting_by_ticket"]),
         queue["slots"],
-        mean_duration_s
-        or min(work_queue["mean_duration_s"] for work_queue in queue["work_queues"].values()),
-        new_wait_s,
+        kind_load(queue, WorkKind.NEW),
+        kind_load(queue, WorkKind.NESTED),
     )
+
+
+def kind_load(queue: TargetQueue, kind: WorkKind) -> KindLoad:
+    """Return the mean duration of one kind of request and the wait of one that arrives now."""
+    work_queue = queue["work_queues"][kind]
+    duration_s = work_queue["mean_duration_s"]
+    if has_free_slot(queue, work_queue) and not work_queue["waiting"]:
+        return KindLoad(duration_s, 0.0)
+    ahead = sum(work_queue["by_rank"].values()) + 1
+    return KindLoad(duration_s, ahead * duration_s / available_slots(queue, work_queue))
--- a/tests/fast/test_entry_decisions.py
+++ b/tests/fast/test_entry_decisions.py
@@ -20,7 +20,13 @@
 )
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.document import Execution
-from jacinthsail.internal.model.fleet import LoadReport, NoTarget, SendToLocalTarget, SendToNode
+from jacinthsail.internal.model.fleet import (
+    KindLoad,
+    LoadReport,
+    NoTarget,
+    SendToLocalTarget,
+    SendToNode,
+)
 from jacinthsail.internal.model.request_state import (
     AcceptRequest,
     FailRequest,
@@ -31,6 +37,7 @@
 )
 from jacinthsail.internal.model.retry_budget import RetryKind
 from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.lineage import nested_call_rank
 from jacinthsail.internal.queries.manifest_routes import decide_entry, match_route
 from jacinthsail.internal.queries.next_steps import is_target_failure, next_step
 from jacinthsail.internal.queries.target_choice import choose_target
@@ -103,9 +110,19 @@
     def test_long_queue_nearby_makes_calls_go_further(self):
         """An overloaded failure domain would miss deadlines while others have free slots."""
         state = fleet(target("near", "10.0.0.2"), target("region", "10.0.1.1", "baguio"))
-        record_load(state, "near", LoadReport(10, 40, 10, 0.1), 0.0)
+        record_load(
+            state, "near", LoadReport(10, 40, 10, KindLoad(0.1, 0.4), KindLoad(0.1, 0.4)), 0.0
+        )
         self.assertEqual(self.choose(state).entry.incarnation, "region")
 
+    def test_long_new_requests_do_not_drive_nested_calls_away(self):
+        """Short calls would cross failure domains while their target nearby has free slots."""
+        state = fleet(target("near", "10.0.0.2"), target("region", "10.0.1.1", "baguio"))
+        record_load(state, "near", LoadReport(9, 0, 10, KindLoad(1.2, 0.0), KindLoad(0.05, 0)), 0.0)
+        request = request_state(route())
+        request["rank"] = nested_call_rank(request["rank"])
+        self.assertEqual(self.choose(state, request).entry.incarnation, "near")
+
     def test_calls_since_the_last_report_count(self):
         """Otherwise all calls between two load reports would go to one target."""
         entry = target("near", "10.0.0.2")
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -11,7 +11,7 @@
 )
 from jacinthsail.internal.adapters.wire import LENGTH_PREFIX, decode_payload, encode_frame
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason, Unknown
-from jacinthsail.internal.model.fleet import LoadReport
+from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.messages import (
     CallReply,
     CallRequest,
@@ -36,6 +36,8 @@
 from jacinthsail.internal.model.store import PublishedItem, StoreDelta, StoreSnapshot
 from tests.common.call_factories import call_context
 
+LOAD = LoadReport(3, 4, 5, KindLoad(0.25, 0.5), KindLoad(0.125, 0.0625))
+
 MESSAGES = (
     Hello("vm-1", "incarnation", "manila", "drafts"),
     Heartbeat(2**64 - 1, 5, 300, True),
@@ -66,14 +68,12 @@
             b"body",
         ),
     ),
-    ForwardReplyMessage(
-        9, ForwardedResponse(200, b"A: b\r\n", b"body"), LoadReport(3, 4, 5, 0.25, 0.5)
-    ),
-    ForwardReplyMessage(10, ForwardedResponse(500, b"", b"", True), LoadReport(3, 4, 5, 0.25, 0.5)),
-    ForwardReplyMessage(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LoadReport(3, 4, 5, 0.25, 0.5)),
-    ForwardReplyMessage(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LoadReport(3, 4, 5, 0.25, 0.5)),
+    ForwardReplyMessage(9, ForwardedResponse(200, b"A: b\r\n", b"body"), LOAD),
+    ForwardReplyMessage(10, ForwardedResponse(500, b"", b"", True), LOAD),
+    ForwardReplyMessage(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LOAD),
+    ForwardReplyMessage(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LOAD),
     Ping(),
-    Pong(LoadReport(3, 4, 5, 0.25, 0.5)),
+    Pong(LOAD),
     FollowStore(2**63 - 1),
     UnfollowStore(),
     StoreReport(
