Bound what a target may send outside and inside a response body

Cause: a head, a chunk size, a trailer or interim responses without an end were taken and held without a limit, and a body up to 64 MiB on VMs with 200 MB. A head that was cut off before its blank line was reported as a complete response: with the seal among its first lines, the caller got an empty success.

Change: 64 KiB without body bytes, 256 headers, 8 responses to other requests and 16 MiB of body are the limits of one response, and 24 MiB of bodies those of all connections to the target; the exchange then fails as indeterminate. A response counts as delimited by the end of its connection only once its head is complete. Callers that do not read their responses are not read from.

--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -6,12 +6,22 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import httptools
 
-# Larger responses would exhaust the memory of a small process.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# A response is sent between nodes in a single frame, which limits its size.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
+# Body bytes that all connections of one owner may hold together. A process has 200 MB on the
+# smallest VMs, and a complete body is copied once more when it is passed on.
+MAX_HELD_BYTES = 24 * 1024 * 1024
+
+# A faulty target may send header lines, chunk sizes, trailers, or interim or unrelated responses
+# without an end. The parser keeps an incomplete line and has no limit of its own.
+MAX_BYTES_WITHOUT_BODY = 64 * 1024
+MAX_HEADERS = 256
+MAX_SKIPPED_RESPONSES = 8
 
 # The kernel closes the connection when sent data stays unacknowledged for this long, so that a peer
 # that has lost power does not hold the connection.
@@ -41,6 +51,12 @@
     request_sent: bool
 
 
+class HeldBytes(TypedDict):
+    """Body bytes of incomplete responses on all connections of one owner."""
+
+    total: int
+
+
 ExchangeResult = HttpClientResponse | BrokenExchange
 
 # Returns whether a complete response belongs to the pending request.
@@ -54,6 +70,7 @@
         self,
         on_idle: Callable[["HttpClientConnection"], None],
         on_closed: Callable[["HttpClientConnection"], None],
+        held: HeldBytes | None = None,
     ) -> None:
         self.on_idle = on_idle
         self.on_closed = on_closed
@@ -65,7 +82,11 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.body_bytes = 0
+        self.held = HeldBytes(total=0) if held is None else held
+        self.bytes_without_body = 0
+        self.skipped = 0
         self.in_message = False
+        self.is_head_complete = False
         self.has_length = False
         self.must_close = False
         self.idle_timeout_s: float | None = None
@@ -99,6 +120,8 @@
         if self.transport is None or self.transport.is_closing():
             on_result(BrokenExchange("the connection was closed before the request", False))
             return
+        self.skipped = 0
+        self.bytes_without_body = 0
         self.on_result = on_result
         self.matches = matches
         self.is_head = is_head
@@ -108,6 +131,7 @@
         """Close the connection immediately; a pending request gets no result."""
         self.on_result = None
         self.must_close = True
+        self._release_body()
         if self.transport is not None:
             self.transport.abort()
 
@@ -117,16 +141,19 @@
             # Bytes on an idle connection belong to no request.
             self._fail("bytes without a request")
             return
+        self.bytes_without_body += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail("the peer switched protocols")
         except httptools.HttpParserError as error:
             self._fail(f"malformed response: {type(error).__name__}")
+        if self.bytes_without_body > MAX_BYTES_WITHOUT_BODY:
+            self._fail("response exceeds the maximum size outside its body")
 
     def eof_received(self) -> bool:
         """Treat a response that is delimited by the end of its connection as complete."""
-        if self.in_message and not self.has_length and not self.is_head:
+        if self.in_message and self.is_head_complete and not self.has_length:
             self.must_close = True
             self.on_message_complete()
         return False
@@ -141,9 +168,9 @@
     def on_message_begin(self) -> None:
         """Start a new response."""
         self.headers = []
-        self.body = []
-        self.body_bytes = 0
+        self._release_body()
         self.in_message = True
+        self.is_head_complete = False
         self.has_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -156,35 +183,56 @@
         elif lower == HEADER_KEEP_ALIVE:
             self.idle_timeout_s = keep_alive_timeout_s(value)
         self.headers.append((lower, value))
+        if len(self.headers) > MAX_HEADERS:
+            self._fail("response has too many headers")
 
     def on_headers_complete(self) -> None:
         """Complete the response to a HEAD request, which has no body."""
+        self.is_head_complete = True
         if self.is_head and self.on_result is not None:
             self.must_close = True
             self._complete()
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
+        if not self.in_message:
+            # The exchange has failed in an earlier callback for the same received bytes.
+            return
+        self.bytes_without_body = 0
         self.body_bytes += len(data)
-        if self.body_bytes > MAX_RESPONSE_BYTES:
-            self._fail("response exceeds the maximum size")
+        self.held["total"] += len(data)
+        if self.body_bytes > MAX_RESPONSE_BYTES or self.held["total"] > MAX_HELD_BYTES:
+            self._fail("response body exceeds the maximum size")
             return
         self.body.append(data)
 
+    def _release_body(self) -> None:
+        self.held["total"] -= self.body_bytes
+        self.body = []
+        self.body_bytes = 0
+
     def on_message_complete(self) -> None:
         """Report a complete response, unless it belongs to another request."""
         if not self.in_message:
             return
         if self.parser.get_status_code() < 200:
             self.in_message = False
+            self._skip()
             return
         self._complete()
 
+    def _skip(self) -> None:
+        """Count a response that is not the one awaited, and give up after too many of them."""
+        self.skipped += 1
+        if self.skipped > MAX_SKIPPED_RESPONSES:
+            self._fail("too many responses that do not belong to the request")
+
     def _complete(self) -> None:
         self.in_message = False
         response = HttpClientResponse(
             self.parser.get_status_code(), self.headers, b"".join(self.body)
         )
+        self._release_body()
         if self.on_result is None:
             # After a second response to one request, nothing on this connection can be trusted.
             self._fail("response without a request")
@@ -192,6 +240,7 @@
         if self.matches is not None and not self.matches(response):
             # A late response to an earlier request; the response to this request follows it.
             self.must_close = True
+            self._skip()
             return
         on_result = self.on_result
         self.on_result = None
@@ -210,6 +259,7 @@
         self.on_result = None
         self.in_message = False
         self.must_close = True
+        self._release_body()
         if self.transport is not None:
             self.transport.abort()
         if on_result is not None:
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -164,6 +164,7 @@
         self.idle_since = 0.0
         self.ignores_input = False
         self.is_paused = False
+        self.is_caller_slow = False
         self.expects_continue = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -269,9 +270,27 @@
             return
         if pending.response is None:
             pending.handle = handle
-        if len(self.pending) >= MAX_PIPELINED and self.transport is not None:
+        if len(self.pending) >= MAX_PIPELINED:
             self.is_paused = True
+            self._pause_or_resume_reading()
+
+    def pause_writing(self) -> None:
+        """Read no more requests while the caller does not read the responses."""
+        self.is_caller_slow = True
+        self._pause_or_resume_reading()
+
+    def resume_writing(self) -> None:
+        """Read requests again."""
+        self.is_caller_slow = False
+        self._pause_or_resume_reading()
+
+    def _pause_or_resume_reading(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.is_paused or self.is_caller_slow:
             self.transport.pause_reading()
+            return
+        self.transport.resume_reading()
 
     def flush(self) -> None:
         """Write the responses that are next in order."""
@@ -288,9 +307,9 @@
                 self._half_close()
         if not self.pending:
             self.idle_since = asyncio.get_running_loop().time()
-        if self.is_paused and len(self.pending) < MAX_PIPELINED and self.transport is not None:
+        if self.is_paused and len(self.pending) < MAX_PIPELINED:
             self.is_paused = False
-            self.transport.resume_reading()
+            self._pause_or_resume_reading()
 
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection, or reject its request, when the caller exceeded a timeout."""
--- a/src/jacinthsail/internal/adapters/local_target.py
+++ b/src/jacinthsail/internal/adapters/local_target.py
@@ -9,6 +9,7 @@
 from jacinthsail.internal.adapters.http_client import (
     BrokenExchange,
     ExchangeResult,
+    HeldBytes,
     HttpClientConnection,
     HttpClientResponse,
 )
@@ -173,6 +174,7 @@
         self.overdue_timer: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
         self.opened_count = 0
+        self.held = HeldBytes(total=0)
 
     def submit(self, forwarded: ForwardedRequest, on_outcome: OnOutcome) -> LocalRequest:
         """Start, queue or reject a request; the callback is called once with its outcome."""
@@ -344,7 +346,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self.loop.create_connection(
-                    lambda: HttpClientConnection(self._on_idle, self._on_closed),
+                    lambda: HttpClientConnection(self._on_idle, self._on_closed, self.held),
                     self.host,
                     self.port,
                 )
--- a/tests/fast/test_platform_decoding.py
+++ b/tests/fast/test_platform_decoding.py
@@ -1,5 +1,7 @@
 """Guards the decoders of platform messages: malformed input returns a failure, never raises."""
 
+import asyncio
+import base64
 import json
 import unittest
 
@@ -8,7 +10,16 @@
 from returns.result import Failure, Success
 
 from jacinthsail.internal.model.document import Execution
-from jacinthsail.platform.decoding import decode_manifest, decode_target, duration_s
+from jacinthsail.internal.model.settings import Endpoint
+from jacinthsail.internal.model.store import StoreSnapshot, StoreUnavailable, UndecodableItem
+from jacinthsail.platform.decoding import (
+    MAX_DETAIL_LENGTH,
+    decode_manifest,
+    decode_target,
+    duration_s,
+)
+from jacinthsail.platform.settings import decode_settings
+from jacinthsail.platform.store import PlatformStore
 
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=200)
 
@@ -142,3 +153,105 @@
         for value in ("250", "ms", "-5ms", "1e3ms", "nans", 250, None, "5 s"):
             with self.subTest(value=value), self.assertRaises((ValueError, TypeError)):
                 duration_s(value)
+
+    def test_address_is_an_ipv4_address_with_a_port(self):
+        """A host name would be looked up, and a port out of range raises when it is used."""
+        for address in (
+            "10.1.0.9:+80",
+            "10.1.0.9:0",
+            "10.1.0.9:65536",
+            "10.1.0.9:99999999999999999999",
+            "10.1.0.9:\uff18\uff10",
+            "10.1.0.9:80 ",
+            "10.1.0.9",
+            "db.example:80",
+            "10.1.0.9.1:80",
+            "[::1]:80",
+            ":80",
+        ):
+            with self.subTest(address):
+                body = encoded({**ENTRY, "address": address})
+                self.assertIsInstance(decode_target("i-1", body, {}), Failure)
+
+    def test_incarnation_must_fit_into_a_header(self):
+        """The incarnation is sent as a header; a line break would add headers to each request."""
+        for incarnation in ("i\r\nX-Evil: 1", "i 1", "", "\u00e9", "\ud800", "i" * 1000):
+            with self.subTest(incarnation):
+                self.assertIsInstance(decode_target(incarnation, encoded(ENTRY), {}), Failure)
+
+    def test_numbers_beyond_any_use_are_rejected(self):
+        """An infinite time or an endless version would stay in force for ever."""
+        huge = "9" * 400
+        for path, value in (
+            (("warmupLeft",), huge + "s"),
+            (("concurrency",), 10**30),
+            (("concurrency",), 1e400),
+        ):
+            with self.subTest(path):
+                body = encoded(replaced(ENTRY, path, value))
+                self.assertIsInstance(decode_target("i-1", body, {}), Failure)
+        for path, value in (
+            (("version",), "f" * 400),
+            (("version",), "0x00000c"),
+            (("routes", 0, "timeout"), huge + "ms"),
+        ):
+            with self.subTest(path):
+                self.assertIsInstance(
+                    decode_manifest(encoded(replaced(MANIFEST, path, value))), Failure
+                )
+
+    def test_description_of_a_malformed_value_is_short(self):
+        """A value of a megabyte would be written to the log of every node."""
+        body = encoded({**ENTRY, "state": "x" * 300_000})
+        detail = decode_target("i-1", body, {}).failure().detail
+        self.assertLessEqual(len(detail), MAX_DETAIL_LENGTH)
+
+    def test_deeply_nested_settings_are_rejected(self):
+        """The process would end when the platform changes the file."""
+        text = "a = " + "[" * 100_000 + "]" * 100_000
+        self.assertIsInstance(decode_settings(text, "settings"), Failure)
+
+
+class StoreItemsTest(unittest.TestCase):
+    def read(self, *items):
+        store = PlatformStore(Endpoint("127.0.0.1", 1), {})
+        pages = [{"items": list(items), "hasMore": False, "asOf": 9}]
+
+        async def get(path, timeout_s=0.0):
+            return pages.pop(0)
+
+        store._get = get
+        return asyncio.run(store.read_snapshot())
+
+    def test_odd_items_do_not_hide_the_others(self):
+        """One item without a valid key would discard the page with all other targets."""
+        value = base64.b64encode(encoded(ENTRY)).decode()
+        good = {"key": "servers/i-1", "value": value, "revision": 3}
+        odd = (
+            None,
+            7,
+            [],
+            {},
+            {"key": None, "value": value, "revision": 3},
+            {"key": "servers/\ud800", "value": value, "revision": 3},
+            {"key": "servers/i\r\n2", "value": value, "revision": 3},
+            {"key": "servers/i-2", "value": value},
+            {"key": "servers/i-2", "value": value, "revision": 10**30},
+            {"key": "servers/i-2", "value": value, "revision": "3"},
+        )
+        snapshot = self.read(*odd, good, *odd)
+        self.assertEqual([item.key for item in snapshot.items], ["servers/i-1"])
+
+    def test_unreadable_value_is_refused_alone(self):
+        """A value that is no base64 would raise in the task that follows the store."""
+        for value in (None, 7, "*", "\ud800", "YQ", ["a"]):
+            with self.subTest(value=value):
+                snapshot = self.read({"key": "servers/i-1", "value": value, "revision": 3})
+                store = PlatformStore(Endpoint("127.0.0.1", 1), {})
+                self.assertIsInstance(store.decode(snapshot.items[0]), UndecodableItem)
+
+    @DETERMINISTIC
+    @given(st.lists(JSON, max_size=4))
+    def test_arbitrary_pages_do_not_raise(self, items):
+        """An exception would end the task that follows the store."""
+        self.assertIsInstance(self.read(*items), StoreSnapshot | StoreUnavailable)
