--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -69,6 +69,7 @@
     CAPACITY_REASONS,
     RETRYABLE_STATUSES,
     TARGET_REFUSAL_REASONS,
+    depends_on_other_targets,
     is_repeatable,
     is_target_failure,
     next_step,
@@ -275,7 +276,10 @@
         if self.respond is None:
             return
         _record_outcome(outcome, self, incarnation, now)
-        failure_rate = failure_rate_elsewhere(self.entry.fleet, self.request_state, now)
+        failure_rate = 0.0
+        if depends_on_other_targets(outcome):
+            # This compares all targets of the service, so it is left out for every other outcome.
+            failure_rate = failure_rate_elsewhere(self.entry.fleet, self.request_state, now)
         _apply_step(next_step(outcome, self.request_state, failure_rate, now), self, now)
 
     def respond_without_target(self, step: FailRequest, now: float) -> None:
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -106,6 +106,22 @@
     return FailRequest(STATUS_BAD_GATEWAY, outcome.reason, 0.0)
 
 
+@singledispatch
+def depends_on_other_targets(outcome: object) -> bool:
+    """Return whether the step after an outcome depends on how often other targets fail."""
+    return False
+
+
+@depends_on_other_targets.register
+def _(outcome: ForwardedResponse) -> bool:
+    return outcome.status in RETRYABLE_STATUSES and not outcome.is_shed
+
+
+@depends_on_other_targets.register
+def _(outcome: Unknown) -> bool:
+    return True
+
+
 def is_target_failure(target_response: ForwardedResponse) -> bool:
     """Return whether a response counts as a failure of the target.
 
