Let a node that starts without the store learn from connected nodes

Change: after each failed read, such a node asks one of the nodes that are connected to it for its copy, and applies it if it still has none.

--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -68,6 +68,12 @@
     def remove_follower(self, connection: PeerConnection) -> None:
         """Send no more changes to a peer."""
 
+    def reply_once(self, connection: PeerConnection, known_revision: int) -> None:
+        """Send the published items to a peer that cannot read the store."""
+
+    def receive_first_copy(self, report: StoreReport) -> None:
+        """Handle the published items from a peer that was asked for them."""
+
 
 class PendingPeerRequest:
     """A request for a peer, waiting for a connection or in flight; ``cancel`` abandons it."""
@@ -361,6 +367,11 @@
     link.links.sharing.receive_report(link.host, message)
 
 
+@_handle_reply.register
+def _(message: FollowStore, link: PeerLink, connection: PeerConnection) -> None:
+    link.links.sharing.reply_once(connection, message.known_revision)
+
+
 @singledispatch
 def _handle_request(message: object, links: PeerLinks, connection: PeerConnection) -> None:
     """Handle a message on a connection that a peer opened."""
@@ -384,6 +395,11 @@
     links.sharing.add_follower(connection, message.known_revision)
 
 
+@_handle_request.register
+def _(message: StoreReport, links: PeerLinks, connection: PeerConnection) -> None:
+    links.sharing.receive_first_copy(message)
+
+
 @_handle_request.register
 def _(message: UnfollowStore, links: PeerLinks, connection: PeerConnection) -> None:
     links.sharing.remove_follower(connection)
--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -56,6 +56,7 @@
         self.sources = sources
         self.fleet = fleet
         self.own_host = fleet["location"].host
+        self.random = random
         self.fallback_jitter_s = random.uniform(0.0, FALLBACK_JITTER_S)
         self.followers: set[PeerConnection] = set()
         self.reads_store = asyncio.Event()
@@ -162,6 +163,28 @@
         connection.send(self._report_with(changes_since(self.copy, known_revision)))
         self._decide_role(self.loop.time())
 
+    def reply_once(self, connection: PeerConnection, known_revision: int) -> None:
+        """Report once to a node that cannot read the store and follows nobody yet."""
+        if self.copy["revision"]:
+            connection.send(self._report_with(changes_since(self.copy, known_revision)))
+
+    def ask_for_first_copy(self) -> None:
+        """Ask a node that is connected to this one for its copy, while there is no other way.
+
+        A node that starts while the store does not respond knows no peers, but peers connect to it.
+        """
+        assert self.links is not None
+        connections = list(self.links.inbound)
+        if connections and not self.copy["revision"]:
+            self.random.choice(connections).send(FollowStore(0))
+
+    def receive_first_copy(self, report: StoreReport) -> None:
+        """Apply a peer's copy, unless this node has one or the store responds to it."""
+        if self.copy["revision"] or not self.reading["failures"]:
+            return
+        assert self.apply_update is not None
+        self.apply_update(report.update, "a connected node")
+
     def remove_follower(self, connection: PeerConnection) -> None:
         """Report to a node no longer."""
         if connection not in self.followers:
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -102,6 +102,8 @@
         failures = self.reading["failures"]
         record_response(response, self.reading, self.fleet, now)
         _log_response(response, failures)
+        if isinstance(response, StoreUnavailable):
+            self.exchange.ask_for_first_copy()
         if isinstance(response, StoreSnapshot | StoreDelta) and is_newer(self.copy, response):
             self.apply_update(response, STORE)
             return
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -99,3 +99,20 @@
             testbed.store.delete("servers/i-1")
             for node in testbed.nodes.values():
                 await testbed.wait_until(lambda node=node: "i-1" not in node.fleet["targets"])
+
+    async def test_node_that_starts_without_the_store_learns_from_its_callers(self):
+        """It would refuse the calls of its target until the store is back."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            restarted = testbed.nodes.pop(1)
+            restarted.settings = restarted.settings._replace(grace_s=0.0)
+            await restarted.stop()
+            testbed.store.status = 503
+            node = await testbed.add_node(1, service="seals")
+            peer = testbed.nodes[2]
+            peer.links.link_to(testbed.host(1)).open()
+            await testbed.wait_until(node.is_ready)
+            self.assertEqual(len(node.fleet["targets"]), NODES)
+            testbed.store.status = 200
+            testbed.store.put("op/config", manifest(2))
+            await self.wait_for_version(testbed, 2)
