Spread calls over targets with stale reports, and let limits recover within seconds

Registry refused over 1,000 requests a second with 5% to 40% of its slots in use, for 10 s after the faults: at a low limit few responses arrive, and the mean shares described the failure long after its end. A share of 10% of 19 slots was used as 1 slot.

--- a/src/jacinthsail/internal/commands/target_queue.py
+++ b/src/jacinthsail/internal/commands/target_queue.py
@@ -5,6 +5,7 @@
 from jacinthsail.internal.model.request_state import ForwardedRequest
 from jacinthsail.internal.model.target_queue import TargetQueue, WaitingRequest, WorkKind, WorkQueue
 from jacinthsail.internal.queries.target_queue import (
+    decayed_share,
     has_stale_entry,
     is_on_time,
     limit_after_response,
@@ -60,6 +61,7 @@
     if kind is WorkKind.NESTED:
         return
     on_time = is_on_time(forwarded, duration_s)
+    _decay_shares(work_queue, now)
     work_queue["late_share"] += MEAN_WEIGHT * ((0.0 if on_time else 1.0) - work_queue["late_share"])
     work_queue["shed_share"] -= MEAN_WEIGHT * work_queue["shed_share"]
     _set_limit(work_queue, limit_after_response(queue, work_queue, on_time, now), now)
@@ -71,10 +73,17 @@
     if kind is WorkKind.NESTED:
         return
     work_queue = queue["work_queues"][kind]
+    _decay_shares(work_queue, now)
     work_queue["shed_share"] += MEAN_WEIGHT * (1.0 - work_queue["shed_share"])
     _set_limit(work_queue, limit_after_shed(queue, work_queue, now), now)
 
 
+def _decay_shares(work_queue: WorkQueue, now: float) -> None:
+    work_queue["late_share"] = decayed_share(work_queue, work_queue["late_share"], now)
+    work_queue["shed_share"] = decayed_share(work_queue, work_queue["shed_share"], now)
+    work_queue["responded_at"] = now
+
+
 def _set_limit(work_queue: WorkQueue, limit: float, now: float) -> None:
     if limit < work_queue["limit"]:
         work_queue["lowered_at"] = now
--- a/src/jacinthsail/internal/model/target_queue.py
+++ b/src/jacinthsail/internal/model/target_queue.py
@@ -30,7 +30,8 @@
 
     ``waiting`` is a heap of (rank, ticket), in which requests that were removed remain until they
     are first; ``by_rank`` counts the requests that are still queued.
-    ``limit`` bounds the requests in flight. ``mean_duration_s`` is the mean time that the target
+    ``limit`` bounds the requests in flight, and ``responded_at`` is when one of them was last
+    answered. ``mean_duration_s`` is the mean time that the target
     took over ``response_count`` responses, and ``late_share`` the mean share of responses that
     arrived too late to have their full value. ``shed_share`` is the mean share of requests that
     failed because a nested call was shed. ``calls_per_request`` is the mean number of nested calls
@@ -42,6 +43,7 @@
     in_flight: int
     limit: float
     lowered_at: float
+    responded_at: float
     mean_duration_s: float
     response_count: int
     late_share: float
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -48,6 +48,10 @@
 # Time in which a change of the list of targets usually arrives.
 RETRY_WITHOUT_TARGET_S = 0.5
 
+# Load reports are up to REPORT_VALID_S old. If every node chose the best target of a group, all of
+# them would choose the same one until its next report, so each compares only this many random ones.
+SAMPLED_TARGETS = 2
+
 # Expected times that differ by less than this count as equal, so that nodes do not all choose the
 # same target.
 WAIT_TOLERANCE_S = 0.005
@@ -71,9 +75,11 @@
         usable = usable_candidates(
             fleet, location, request_state, groups.get(distance, ()), suspected, kind, now
         )
-        fastest = fastest_candidate(usable, random)
+        fastest = fastest_candidate(sampled_candidates(usable, random), random)
         if fastest is None:
             continue
+        if distance is Distance.OWN_DOMAIN and fastest.expected_s > nearby_limit_s:
+            fastest = fastest_candidate(usable, random) or fastest
         if distance is Distance.OWN_DOMAIN and fastest.expected_s <= nearby_limit_s:
             return choice_for(fastest)
         if best is None or cost_s(fastest, target_latency_s) < cost_s(best, target_latency_s):
@@ -100,6 +106,13 @@
     return candidate.expected_s + DISTANCE_COST[candidate.distance] * target_latency_s
 
 
+def sampled_candidates(group: list[Candidate], random: Random) -> list[Candidate]:
+    """Return random candidates of a group, or all of a small group."""
+    if len(group) <= SAMPLED_TARGETS:
+        return group
+    return random.sample(group, SAMPLED_TARGETS)
+
+
 def fastest_candidate(group: list[Candidate], random: Random) -> Candidate | None:
     """Return the candidate with the shortest expected time, chosen randomly among near equals."""
     if not group:
--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -1,5 +1,7 @@
 """Queueing in front of the local target: which requests wait, start, or are rejected."""
 
+import math
+
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.request_state import ForwardedRequest
@@ -52,6 +54,15 @@
 SHED_SHARE_TO_LOWER = 0.1
 SHED_SHARE_TO_RAISE = 0.05
 
+# At a low limit, few responses arrive, and averages over responses alone would describe a failure
+# long after its end. They decay while no response arrives for longer than the first of these times.
+DECAY_AFTER_S = 0.2
+DECAY_HALF_LIFE_S = 0.7
+
+# Smallest increase of the limit after a timely response. An increase of 1 for each round of
+# requests, as usual, would take too long to use all slots again.
+MIN_RAISE = 0.5
+
 # Up to this many nested calls per request, a retry is taken to add no load to other services.
 MAX_LEAF_CALLS_PER_REQUEST = 0.1
 
@@ -77,6 +88,7 @@
         in_flight=0,
         limit=float(slots),
         lowered_at=float("-inf"),
+        responded_at=float("-inf"),
         mean_duration_s=INITIAL_MEAN_S,
         response_count=0,
         late_share=0.0,
@@ -209,7 +221,7 @@
     limit = work_queue["limit"]
     may_raise = work_queue["late_share"] <= LATE_SHARE_TO_RAISE
     if on_time and may_raise and work_queue["shed_share"] <= SHED_SHARE_TO_RAISE:
-        return min(float(queue["slots"]), limit + 1.0 / max(1.0, limit))
+        return min(float(queue["slots"]), limit + max(MIN_RAISE, 1.0 / max(1.0, limit)))
     if on_time or work_queue["late_share"] < LATE_SHARE_TO_LOWER:
         return limit
     return lowered_limit(queue, work_queue, now)
@@ -229,7 +241,14 @@
         return limit
     # A limit above the slots in use has no effect, so the decrease starts from those in use.
     used = min(limit, float(work_queue["in_flight"]) + 1.0)
-    return min(limit, max(1.0, MIN_NEW_SHARE * queue["slots"], used * LOWERING_FACTOR))
+    least = float(math.ceil(MIN_NEW_SHARE * queue["slots"]))
+    return min(limit, max(least, used * LOWERING_FACTOR))
+
+
+def decayed_share(work_queue: WorkQueue, share: float, now: float) -> float:
+    """Return a mean share of responses after the time since the last one."""
+    idle_s = now - work_queue["responded_at"] - DECAY_AFTER_S
+    return share if idle_s <= 0.0 else share * 0.5 ** (idle_s / DECAY_HALF_LIFE_S)
 
 
 def is_on_time(forwarded: ForwardedRequest, duration_s: float) -> bool:
--- a/tests/fast/test_target_queue.py
+++ b/tests/fast/test_target_queue.py
@@ -23,6 +23,7 @@
     WorkKind,
 )
 from jacinthsail.internal.queries.target_queue import (
+    MIN_NEW_SHARE,
     decide_queueing,
     expired_requests,
     is_latency_sample,
@@ -124,6 +125,35 @@
             record_duration(queue, forwarded(rank=3), 0.1, 12.0 + number * 0.01)
         self.assertEqual(work_queue["limit"], 20.0)
 
+    def test_limit_recovers_within_seconds_after_a_long_failure_downstream(self):
+        """At a low limit few responses arrive, and an idle service would go on refusing requests.
+
+        The load is that of one target with 19 slots whose requests take 0.8 s: while a service
+        further on refuses half of the calls, the limit falls; then all calls succeed, and requests
+        always wait.
+        """
+        queue = target_queue(slots=19)
+        work_queue = queue["work_queues"][WorkKind.NEW]
+        work_queue["in_flight"] = 19
+        for number in range(200):
+            now = number * 0.05
+            record_duration(queue, forwarded(rank=5), 0.1, now)
+            record_shed(queue, forwarded(rank=5), now)
+        self.assertEqual(work_queue["limit"], 2.0)
+        while work_queue["limit"] < 19.0 and now < 20.0:
+            now += 0.8 / int(work_queue["limit"])
+            work_queue["in_flight"] = int(work_queue["limit"])
+            record_duration(queue, forwarded(rank=5), 0.1, now)
+        self.assertLess(now - 10.0, 8.0)
+
+    def test_share_of_new_requests_is_never_less_than_stated(self):
+        """A limit of 1.9 slots would be used as 1, and unimportant requests would starve."""
+        queue = target_queue(slots=19)
+        work_queue = queue["work_queues"][WorkKind.NEW]
+        for number in range(200):
+            record_shed(queue, forwarded(rank=5), number * 0.2)
+        self.assertGreaterEqual(int(work_queue["limit"]) / 19, MIN_NEW_SHARE)
+
     def test_a_few_shed_nested_calls_do_not_lower_the_limit(self):
         """The restart of one node must not make the services before it reject requests."""
         queue = full_queue(slots=20)
