Keep following the store after an unexpected error, and pass on differences

Cause: an error while a change was applied would have ended the process at a reader, and closed a connection with requests in flight at a follower. A source that sent no report for 2 s lost its connection even if that still carried replies. After a compaction of the store's history, each reader sent its whole list to every follower.

Settings whose tables have another shape are refused.

--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -112,6 +112,7 @@
       after @29 :UInt64;
       revision @30 :UInt64;
       isSnapshot @31 :Bool;
+      isDifference @34 :Bool;
       isCurrent @32 :Bool;
       # The largest value stands for "no outage yet".
       recoveredAgoMs @33 :UInt32;
--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from jacinthsail.internal.adapters.connection import PeerConnection
-from jacinthsail.internal.adapters.peer_links import PeerLinks
+from jacinthsail.internal.adapters.peer_links import PeerLink, PeerLinks
 from jacinthsail.internal.adapters.wire import encode_frame
 from jacinthsail.internal.commands.fleet import record_store_recovery
 from jacinthsail.internal.commands.store_sources import (
@@ -27,6 +27,7 @@
 from jacinthsail.internal.queries.store_sources import (
     FALLBACK_JITTER_S,
     REPORT_INTERVAL_S,
+    SOURCE_SILENCE_S,
     SOURCES_CHECK_INTERVAL_S,
     source_changes,
 )
@@ -78,11 +79,11 @@
             self.timer.cancel()
 
     def _check(self) -> None:
+        self.timer = self.loop.call_later(SOURCES_CHECK_INTERVAL_S, self._check)
         self.update_role()
         now = self.loop.time()
         if now - self.reported_at >= REPORT_INTERVAL_S:
             self.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
-        self.timer = self.loop.call_later(SOURCES_CHECK_INTERVAL_S, self._check)
 
     def update_role(self) -> None:
         """Follow the sources that are preferred now, and decide whether to read the store."""
@@ -90,10 +91,8 @@
         now = self.loop.time()
         changes = source_changes(self.sources, self.reading, self.own_host, now)
         for host in changes.replace:
-            _LOG.warning("store reader %s went silent; connection replaced", host)
-            link = self.links.link_to(host)
-            if link.connection is not None:
-                link.connection.abort()
+            _LOG.warning("store reader %s went silent; following another node", host)
+            self._leave_silent_source(self.links.link_to(host), now)
             record_source_lost(self.sources, host, now)
         for host in changes.unfollow:
             self.links.link_to(host).send_control(UnfollowStore())
@@ -103,6 +102,14 @@
             self.links.link_to(host).open()
         self._decide_role(now)
 
+    def _leave_silent_source(self, link: PeerLink, now: float) -> None:
+        """Replace a dead connection; one that still carries replies of requests is kept."""
+        connection = link.connection
+        if connection is not None and now - connection.last_received > SOURCE_SILENCE_S:
+            connection.abort()
+            return
+        link.send_control(UnfollowStore())
+
     def _decide_role(self, now: float) -> None:
         was_reader = self.sources["reads_store"]
         update_reader_role(self.sources, self.reading, self.own_host, self.fallback_jitter_s, now)
@@ -154,7 +161,11 @@
             self.link_opened(host)
             return
         assert self.apply_update is not None
-        self.apply_update(update, host)
+        try:
+            self.apply_update(update, host)
+        except Exception:
+            # The loop would close the connection, and with it the requests in flight on it.
+            _LOG.exception("unexpected error while applying a report of %s", host)
 
     def add_follower(self, connection: PeerConnection, known_revision: int) -> None:
         """Report to a node from now on, beginning with what it lacks."""
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -22,6 +22,7 @@
     StoreChange,
     StoreCopy,
     StoreDelta,
+    StoreDifference,
     StoreReadState,
     StoreResponse,
     StoreSnapshot,
@@ -88,8 +89,15 @@
             pause_s = read_delay_s(self.reading, self.random)
             if pause_s:
                 await asyncio.sleep(pause_s)
-            response = await self._read()
-            self._apply_response(response, loop.time())
+            try:
+                response = await self._read()
+                self._apply_response(response, loop.time())
+            except Exception:
+                # Without this, one unexpected message would end the process.
+                _LOG.exception("unexpected error while following the store")
+                record_response(
+                    StoreUnavailable("unexpected error"), self.reading, self.fleet, loop.time()
+                )
 
     async def _read(self) -> StoreResponse:
         read = next_read(self.reading, self.copy)
@@ -152,9 +160,10 @@
 
 
 @_update_for_followers.register
-def _(update: StoreSnapshot, items: tuple[PublishedItem, ...], before: int) -> StoreUpdate:
-    # The differences to the previous copy do not show which items came and went in between.
-    return update
+def _(
+    update: StoreSnapshot | StoreDifference, items: tuple[PublishedItem, ...], before: int
+) -> StoreUpdate:
+    return StoreDifference(items, before, update.revision)
 
 
 @singledispatch
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -56,6 +56,7 @@
 from jacinthsail.internal.model.store import (
     PublishedItem,
     StoreDelta,
+    StoreDifference,
     StoreSnapshot,
     StoreUpdate,
 )
@@ -214,6 +215,7 @@
     update = message.update
     report.revision = update.revision
     report.isSnapshot = isinstance(update, StoreSnapshot)
+    report.isDifference = isinstance(update, StoreDifference)
     report.after = 0 if isinstance(update, StoreSnapshot) else update.after
     report.isCurrent = message.is_current
     report.recoveredAgoMs = (
@@ -360,6 +362,8 @@
     update: StoreUpdate = StoreDelta(tuple(items), report.after, report.revision)
     if report.isSnapshot:
         update = StoreSnapshot(tuple(items), report.revision)
+    elif report.isDifference:
+        update = StoreDifference(tuple(items), report.after, report.revision)
     ago_ms = report.recoveredAgoMs
     return StoreReport(update, report.isCurrent, None if ago_ms == MAX_UINT32 else ago_ms / 1000)
 
--- a/src/jacinthsail/internal/commands/store_copy.py
+++ b/src/jacinthsail/internal/commands/store_copy.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable
 from functools import singledispatch
 
-from jacinthsail.internal.model.store import PublishedItem, StoreCopy, StoreDelta, StoreSnapshot
+from jacinthsail.internal.model.store import (
+    PublishedItem,
+    StoreCopy,
+    StoreDelta,
+    StoreDifference,
+    StoreSnapshot,
+)
 from jacinthsail.internal.queries.store_copy import surplus_removals
 
 
@@ -27,8 +33,8 @@
 
 
 @record_copied.register
-def _(update: StoreSnapshot, copy: StoreCopy) -> None:
-    # Items that were added and removed between two snapshots are not known here.
+def _(update: StoreSnapshot | StoreDifference, copy: StoreCopy) -> None:
+    # Items that were added and removed since the previous copy are not known here.
     copy["complete_since"] = update.revision
     copy["revision"] = update.revision
 
--- a/src/jacinthsail/internal/model/store.py
+++ b/src/jacinthsail/internal/model/store.py
@@ -57,7 +57,19 @@
     revision: int
 
 
-StoreUpdate = StoreSnapshot | StoreDelta
+class StoreDifference(NamedTuple):
+    """The items that differ between the copies at two revisions.
+
+    Items that were added and removed in between are missing, so it applies only to a copy at
+    exactly the revision ``after``.
+    """
+
+    items: tuple[PublishedItem, ...]
+    after: int
+    revision: int
+
+
+StoreUpdate = StoreSnapshot | StoreDelta | StoreDifference
 
 
 class HistoryCompacted(NamedTuple):
--- a/src/jacinthsail/internal/queries/store_copy.py
+++ b/src/jacinthsail/internal/queries/store_copy.py
@@ -6,6 +6,7 @@
     PublishedItem,
     StoreCopy,
     StoreDelta,
+    StoreDifference,
     StoreSnapshot,
     StoreUpdate,
 )
@@ -44,6 +45,11 @@
     return update.after <= copy["revision"]
 
 
+@follows.register
+def _(update: StoreDifference, copy: StoreCopy) -> bool:
+    return update.after == copy["revision"]
+
+
 def is_plausible(copy: StoreCopy, update: StoreUpdate) -> bool:
     """Return whether a peer's update can stem from the store that this node has read."""
     if not copy["revision"]:
@@ -75,7 +81,7 @@
 
 
 @items_to_apply.register
-def _(update: StoreDelta, copy: StoreCopy) -> tuple[PublishedItem, ...]:
+def _(update: StoreDelta | StoreDifference, copy: StoreCopy) -> tuple[PublishedItem, ...]:
     return _newer_items(copy, update.items)
 
 
--- a/src/jacinthsail/platform/decoding.py
+++ b/src/jacinthsail/platform/decoding.py
@@ -43,7 +43,14 @@
 _TOKEN = re.compile(r"[\x21-\x7e]+", re.ASCII)
 
 # Raised by the functions below for a value of the wrong type or format.
-DECODE_ERRORS = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 _UNITS_S = (("ms", 0.001), ("s", 1.0))
 
--- a/tests/fast/test_platform_decoding.py
+++ b/tests/fast/test_platform_decoding.py
@@ -206,6 +206,12 @@
         detail = decode_target("i-1", body, {}).failure().detail
         self.assertLessEqual(len(detail), MAX_DETAIL_LENGTH)
 
+    def test_settings_of_another_shape_are_rejected(self):
+        """A table that is no table would end the process when the settings are read again."""
+        for text in ("zones = 1", 'zones = ["a"]', "listenAddrs = 7", "x = 1"):
+            with self.subTest(text):
+                self.assertIsInstance(decode_settings(text, "settings"), Failure)
+
     def test_deeply_nested_settings_are_rejected(self):
         """The process would end when the platform changes the file."""
         text = "a = " + "[" * 100_000 + "]" * 100_000
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -92,6 +92,25 @@
             for node in testbed.nodes.values():
                 self.assertEqual(len(node.fleet["targets"]), NODES)
 
+    async def test_unexpected_error_does_not_stop_the_followers(self):
+        """One error in the code that applies a change would end the process, at every node."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            for node in testbed.nodes.values():
+                client = node.dialects.store
+                decode, failures = client.decode, [RuntimeError("unexpected")]
+
+                def decode_or_fail(item, decode=decode, failures=failures):
+                    if failures:
+                        raise failures.pop()
+                    return decode(item)
+
+                client.decode = decode_or_fail
+            testbed.store.put("op/config", manifest(2))
+            await asyncio.sleep(1.5)
+            testbed.store.put("op/config", manifest(3))
+            await self.wait_for_version(testbed, 3)
+
     async def test_removed_target_leaves_every_node(self):
         """A node that follows others would send requests to a target that has left."""
         async with PlatformTestbed() as testbed:
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -13,7 +13,12 @@
     set_followers,
     update_order,
 )
-from jacinthsail.internal.model.store import PublishedItem, StoreDelta, StoreSnapshot
+from jacinthsail.internal.model.store import (
+    PublishedItem,
+    StoreDelta,
+    StoreDifference,
+    StoreSnapshot,
+)
 from jacinthsail.internal.queries.store_copy import (
     MAX_REMOVALS,
     MAX_REVISION_STEP,
@@ -180,6 +185,19 @@
         copy = self.copy(StoreSnapshot((), 5))
         self.assertFalse(follows(StoreDelta((), 6, 9), copy))
 
+    def test_difference_of_two_snapshots_applies_only_to_the_earlier_copy(self):
+        """A target that came and went between the snapshots would stay at a node that saw it."""
+        difference = StoreDifference((item("b", 9),), 5, 9)
+        at_start = self.copy(StoreSnapshot((item("a", 3),), 5))
+        in_between = self.copy(
+            StoreSnapshot((item("a", 3),), 5), StoreDelta((item("gone", 7),), 5, 7)
+        )
+        apply(at_start, difference)
+        apply(in_between, difference)
+        self.assertEqual((at_start["revision"], in_between["revision"]), (9, 7))
+        apply(in_between, changes_since(at_start, in_between["revision"]))
+        self.assertEqual(in_between["items"], at_start["items"])
+
     def test_node_that_lags_behind_the_kept_removals_gets_a_snapshot(self):
         """A removal that is no longer kept would be missing in a list of changes."""
         removals = tuple(item(f"k{n}", 10 + n, None) for n in range(MAX_REMOVALS + 1))
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -33,7 +33,12 @@
 from jacinthsail.internal.model.replication import Item, ItemVersion
 from jacinthsail.internal.model.request_state import ForwardedRequest, ForwardedResponse
 from jacinthsail.internal.model.retry_budget import RetryKind
-from jacinthsail.internal.model.store import PublishedItem, StoreDelta, StoreSnapshot
+from jacinthsail.internal.model.store import (
+    PublishedItem,
+    StoreDelta,
+    StoreDifference,
+    StoreSnapshot,
+)
 from tests.common.call_factories import call_context
 
 LOAD = LoadReport(3, 4, 5, KindLoad(0.25, 0.5), KindLoad(0.125, 0.0625))
@@ -79,6 +84,7 @@
     StoreReport(
         StoreDelta((PublishedItem("k", 7, b"body"), PublishedItem("l", 8, None)), 6, 9), True, 1.5
     ),
+    StoreReport(StoreDifference((PublishedItem("k", 7, b"body"),), 6, 9), True, 0.0),
     StoreReport(StoreSnapshot((PublishedItem("k", 7, b""),), 9), False, None),
 )
 
