Call an unavailable store less often from nodes that read for themselves only

Cause: while the store answers nobody, every node without a working source read it as often as a reader does, about three times a second.

Change: such a node waits for 3 s or more if its sources still report, and retries every 2 to 4 s; it reads at once when another node follows it.

--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -9,7 +9,7 @@
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import StoreReadState
-from jacinthsail.internal.model.store_sources import StoreSources
+from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
 from jacinthsail.internal.model.target_queue import TargetQueue, WorkKind
 from jacinthsail.internal.queries.fleet_view import manifest_version
 
@@ -63,7 +63,10 @@
             ),
             "targets": ("Published targets", len(fleet["targets"])),
             "store_reads": ("Reads of the platform's store that got a response", reading["reads"]),
-            "store_reader": ("1 if this node reads the store", int(sources["reads_store"])),
+            "store_reader": (
+                "1 if this node reads the store",
+                int(sources["role"] is not StoreRole.FOLLOWER),
+            ),
             "store_sources": ("Nodes that this node follows", len(sources["sources"])),
             "store_followers": ("Nodes that follow this one", sources["followers"]),
             "manifest_version": ("Version of the manifest in force", manifest_version(fleet)),
--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -16,16 +16,15 @@
     remove_source,
     set_followers,
     update_order,
-    update_reader_role,
+    update_role,
 )
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.messages import FollowStore, StoreReport, UnfollowStore
 from jacinthsail.internal.model.store import StoreCopy, StoreDelta, StoreReadState, StoreUpdate
-from jacinthsail.internal.model.store_sources import StoreSources
+from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
 from jacinthsail.internal.queries.store_copy import changes_since, follows, is_newer, is_plausible
 from jacinthsail.internal.queries.store_reading import is_read_current
 from jacinthsail.internal.queries.store_sources import (
-    FALLBACK_JITTER_S,
     REPORT_INTERVAL_S,
     SOURCE_SILENCE_S,
     SOURCES_CHECK_INTERVAL_S,
@@ -41,7 +40,8 @@
 class StoreExchange:
     """Follows other nodes, and reports to the nodes that follow this one.
 
-    ``reads_store`` is set while this node has to read the store itself.
+    ``reads_store`` is set while this node has to read the store itself, and ``is_reader`` while
+    it does so for other nodes.
     """
 
     def __init__(
@@ -58,9 +58,10 @@
         self.fleet = fleet
         self.own_host = fleet["location"].host
         self.random = random
-        self.fallback_jitter_s = random.uniform(0.0, FALLBACK_JITTER_S)
+        self.fallback_jitter = random.random()
         self.followers: set[PeerConnection] = set()
         self.reads_store = asyncio.Event()
+        self.is_reader = asyncio.Event()
         self.loop = asyncio.get_running_loop()
         self.links: PeerLinks | None = None
         self.apply_update: ApplyUpdate | None = None
@@ -80,12 +81,12 @@
 
     def _check(self) -> None:
         self.timer = self.loop.call_later(SOURCES_CHECK_INTERVAL_S, self._check)
-        self.update_role()
+        self.follow_preferred()
         now = self.loop.time()
         if now - self.reported_at >= REPORT_INTERVAL_S:
             self.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
 
-    def update_role(self) -> None:
+    def follow_preferred(self) -> None:
         """Follow the sources that are preferred now, and decide whether to read the store."""
         assert self.links is not None
         now = self.loop.time()
@@ -111,16 +112,16 @@
         link.send_control(UnfollowStore())
 
     def _decide_role(self, now: float) -> None:
-        was_reader = self.sources["reads_store"]
-        update_reader_role(self.sources, self.reading, self.own_host, self.fallback_jitter_s, now)
-        if self.sources["reads_store"]:
-            self.reads_store.set()
-        else:
-            self.reads_store.clear()
-        if was_reader != self.sources["reads_store"]:
+        previous = self.sources["role"]
+        update_role(self.sources, self.reading, self.own_host, self.fallback_jitter, now)
+        role = self.sources["role"]
+        _set_event(self.reads_store, role is not StoreRole.FOLLOWER)
+        _set_event(self.is_reader, role is StoreRole.READER)
+        if previous is not role:
             _LOG.info(
-                "node %s; sources %s, %d followers",
-                "reads the store" if self.sources["reads_store"] else "follows other nodes",
+                "role at the store: %s, previously %s; sources %s, %d followers",
+                role,
+                previous,
                 ", ".join(self.sources["sources"]) or "none",
                 len(self.followers),
             )
@@ -141,7 +142,7 @@
         _LOG.info("lost the connection to store reader %s", host)
         record_source_lost(self.sources, host, self.loop.time())
         if self.links is not None:
-            self.loop.call_soon(self.update_role)
+            self.loop.call_soon(self.follow_preferred)
 
     def receive_report(self, host: str, report: StoreReport) -> None:
         """Apply what a source has read, unless another source was faster."""
@@ -221,3 +222,10 @@
             is_read_current(self.reading, now),
             now - recovered_at if recovered_at > float("-inf") else None,
         )
+
+
+def _set_event(event: asyncio.Event, is_set: bool) -> None:
+    if is_set:
+        event.set()
+        return
+    event.clear()
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 from functools import singledispatch
 from random import Random
 from typing import Any, Protocol
@@ -30,6 +31,7 @@
     StoreUpdate,
     UndecodableItem,
 )
+from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.store_copy import is_newer, items_to_apply
 from jacinthsail.internal.queries.store_reading import next_read, read_delay_s
@@ -86,9 +88,7 @@
         while not self.should_stop:
             if not self.reading["needs_snapshot"]:
                 await self.exchange.reads_store.wait()
-            pause_s = read_delay_s(self.reading, self.random)
-            if pause_s:
-                await asyncio.sleep(pause_s)
+            await self._pause()
             try:
                 response = await self._read()
                 self._apply_response(response, loop.time())
@@ -99,6 +99,17 @@
                     StoreUnavailable("unexpected error"), self.reading, self.fleet, loop.time()
                 )
 
+    async def _pause(self) -> None:
+        """Wait before the next read, but not if other nodes come to rely on this one meanwhile."""
+        role = self.exchange.sources["role"]
+        pause_s = read_delay_s(self.reading, role, self.random)
+        if role is not StoreRole.FALLBACK:
+            await asyncio.sleep(pause_s)
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self.exchange.is_reader.wait()
+
     async def _read(self) -> StoreResponse:
         read = next_read(self.reading, self.copy)
         if isinstance(read, ReadSnapshot):
--- a/src/jacinthsail/internal/commands/store_sources.py
+++ b/src/jacinthsail/internal/commands/store_sources.py
@@ -5,8 +5,8 @@
 from jacinthsail.internal.model.store_sources import SourceState, StoreSources
 from jacinthsail.internal.queries.fleet_view import suspicion_s
 from jacinthsail.internal.queries.store_sources import (
+    decide_role,
     has_working_source,
-    must_read_store,
     reader_order,
 )
 
@@ -54,14 +54,14 @@
     state["followers"] = followers
 
 
-def update_reader_role(
+def update_role(
     state: StoreSources,
     reading: StoreReadState,
     own_host: str,
-    fallback_jitter_s: float,
+    fallback_jitter: float,
     now: float,
 ) -> None:
     """Decide anew whether this node reads the store itself."""
     if has_working_source(state, now):
         state["working_at"] = now
-    state["reads_store"] = must_read_store(state, reading, own_host, fallback_jitter_s, now)
+    state["role"] = decide_role(state, reading, own_host, fallback_jitter, now)
--- a/src/jacinthsail/internal/model/store_sources.py
+++ b/src/jacinthsail/internal/model/store_sources.py
@@ -1,8 +1,21 @@
 """The nodes from which a node learns what the store publishes."""
 
+from enum import StrEnum
 from typing import NamedTuple, TypedDict
 
 
+class StoreRole(StrEnum):
+    """Whether a node reads the store.
+
+    A reader does so for other nodes. A node in the fallback role has no working source and reads
+    for itself only, and less often while the store does not respond.
+    """
+
+    READER = "reader"
+    FALLBACK = "fallback"
+    FOLLOWER = "follower"
+
+
 class SourceState(TypedDict):
     """One node that this node follows; times are monotonic seconds.
 
@@ -21,7 +34,7 @@
     sources; nodes that know the same targets have the same order. ``suspected_until`` and
     ``failures`` concern sources that could not be reached or went silent. ``followers`` counts the
     nodes that follow this one, and ``working_at`` is when another node last proved to be current.
-    ``reads_store`` is set while this node has to read the store itself.
+    ``role`` says whether this node reads the store itself.
     """
 
     order: tuple[str, ...]
@@ -30,7 +43,7 @@
     failures: dict[str, int]
     followers: int
     working_at: float
-    reads_store: bool
+    role: StoreRole
 
 
 class SourceChanges(NamedTuple):
--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -9,6 +9,7 @@
     StoreRead,
     StoreReadState,
 )
+from jacinthsail.internal.model.store_sources import StoreRole
 
 # Entries change with every heartbeat of a target, so a watch that is renewed at once would return
 # many times a second. A longer pause would delay changes, which must be in force within 2 s.
@@ -25,6 +26,10 @@
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_STORE_RETRY_DELAY_S = 0.5
 
+# The same for a node that reads for itself only: the readers of its domain notice the return of the
+# store first, and all nodes together would call it hundreds of times a second.
+MAX_FALLBACK_RETRY_DELAY_S = 4.0
+
 
 def new_read_state() -> StoreReadState:
     """Return the initial reading state, before the first read."""
@@ -45,8 +50,10 @@
     return reading["failures"] == 0 and now - reading["last_read_at"] <= MAX_READ_AGE_S
 
 
-def read_delay_s(reading: StoreReadState, random: Random) -> float:
+def read_delay_s(reading: StoreReadState, role: StoreRole, random: Random) -> float:
     """Return the delay before the next read."""
+    if reading["failures"] and role is StoreRole.FALLBACK and not reading["needs_snapshot"]:
+        return random.uniform(MAX_FALLBACK_RETRY_DELAY_S / 2, MAX_FALLBACK_RETRY_DELAY_S)
     if reading["failures"]:
         longest_s = min(
             MAX_STORE_RETRY_DELAY_S, INITIAL_RETRY_DELAY_S * 2.0 ** (reading["failures"] - 1)
--- a/src/jacinthsail/internal/queries/store_sources.py
+++ b/src/jacinthsail/internal/queries/store_sources.py
@@ -11,7 +11,12 @@
 
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import StoreReadState
-from jacinthsail.internal.model.store_sources import SourceChanges, SourceState, StoreSources
+from jacinthsail.internal.model.store_sources import (
+    SourceChanges,
+    SourceState,
+    StoreRole,
+    StoreSources,
+)
 from jacinthsail.internal.queries.membership import rendezvous_score
 
 # With two sources, the failure of one delays no change.
@@ -29,10 +34,13 @@
 # A new source has this long to connect and to read the store for the first time.
 SOURCE_TRIAL_S = 1.2
 
-# Without a working source for this long, a node reads the store itself. The jitter spreads the
-# reads of a failure domain that lost all its readers.
+# Without a working source for this long, a node reads the store itself. If its sources still report
+# that they cannot read, the store is probably unavailable for it as well, so it waits longer.
 FALLBACK_DELAY_S = 1.2
-FALLBACK_JITTER_S = 0.8
+UNAVAILABLE_FALLBACK_DELAY_S = 3.0
+
+# Spreads the reads of a failure domain that lost all its readers, as a share of the delay.
+FALLBACK_JITTER_SHARE = 0.6
 
 SOURCES_CHECK_INTERVAL_S = 0.25
 
@@ -46,7 +54,7 @@
         failures={},
         followers=0,
         working_at=float("-inf"),
-        reads_store=True,
+        role=StoreRole.READER,
     )
 
 
@@ -140,20 +148,27 @@
     return SourceChanges(tuple(follow), tuple(unfollow), tuple(replace))
 
 
-def must_read_store(
+def decide_role(
     state: StoreSources,
     reading: StoreReadState,
     own_host: str,
-    fallback_jitter_s: float,
+    fallback_jitter: float,
     now: float,
-) -> bool:
+) -> StoreRole:
     """Return whether this node has to read the store itself.
 
-    It is a reader by the common order, another node follows it, or it has no working source.
+    It is a reader by the common order or because another node follows it. ``fallback_jitter`` is
+    between 0 and 1 and differs between nodes.
     """
     if state["followers"] or own_host in preferred_sources(state, reading, own_host, now):
-        return True
-    return now - state["working_at"] > FALLBACK_DELAY_S + fallback_jitter_s
+        return StoreRole.READER
+    delay_s = FALLBACK_DELAY_S
+    if any(not is_silent(source, now) for source in state["sources"].values()):
+        delay_s = UNAVAILABLE_FALLBACK_DELAY_S
+    delay_s *= 1.0 + FALLBACK_JITTER_SHARE * fallback_jitter
+    if now - state["working_at"] > delay_s:
+        return StoreRole.FALLBACK
+    return StoreRole.FOLLOWER
 
 
 def has_working_source(state: StoreSources, now: float) -> bool:
--- a/tests/fast/test_store_reading.py
+++ b/tests/fast/test_store_reading.py
@@ -21,6 +21,7 @@
     TargetPublished,
     TargetRemoved,
 )
+from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.internal.queries.fleet_view import new_fleet
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_reading import (
@@ -73,9 +74,16 @@
             self.apply(StoreUnavailable("silent"), 1.0)
             read = next_read(self.reading, self.copy)
             self.assertEqual(read, ReadChanges(5, 0.0))
-            longest_s = max(longest_s, read_delay_s(self.reading, Random(1)))
+            longest_s = max(longest_s, read_delay_s(self.reading, StoreRole.READER, Random(1)))
         self.assertLess(longest_s + MAX_WATCH_WAIT_S, APPLY_WITHIN_S)
 
+    def test_outage_costs_few_calls_of_nodes_that_read_for_themselves_only(self):
+        """Hundreds of nodes would call a store that is down several times a second each."""
+        random = Random(1)
+        for _ in range(20):
+            self.apply(StoreUnavailable("silent"), 1.0)
+            self.assertGreaterEqual(read_delay_s(self.reading, StoreRole.FALLBACK, random), 2.0)
+
     def test_versions_never_go_back(self):
         """A stale response would restore a route that was removed."""
         self.apply(StoreDelta((item("m", 6),), 5, 6), 1.0, ManifestPublished(manifest(7)))
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.testing.platform_stand_ins import TargetStandIn
 from tests.common.platform_testbed import PlatformTestbed, manifest
 
@@ -23,7 +24,7 @@
         return [
             number
             for number, node in testbed.nodes.items()
-            if not node.should_stop and node.sources["reads_store"]
+            if not node.should_stop and node.sources["role"] is StoreRole.READER
         ]
 
     async def wait_for_version(self, testbed, version):
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -19,6 +19,7 @@
     StoreDifference,
     StoreSnapshot,
 )
+from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.internal.queries.store_copy import (
     MAX_REMOVALS,
     MAX_REVISION_STEP,
@@ -31,12 +32,11 @@
 )
 from jacinthsail.internal.queries.store_reading import new_read_state
 from jacinthsail.internal.queries.store_sources import (
-    FALLBACK_DELAY_S,
     MAX_SOURCES,
     SOURCE_SILENCE_S,
     SOURCE_TRIAL_S,
     SOURCES_PER_NODE,
-    must_read_store,
+    decide_role,
     new_store_sources,
     preferred_sources,
     source_changes,
@@ -103,7 +103,9 @@
     def test_lone_node_reads_the_store(self):
         """A node without peers would never learn of a change."""
         update_order(self.state, fleet())
-        self.assertTrue(must_read_store(self.state, self.reading, LOCATION.host, 0.0, 0.0))
+        self.assertIs(
+            decide_role(self.state, self.reading, LOCATION.host, 0.0, 0.0), StoreRole.READER
+        )
 
     def test_lost_reader_is_replaced_by_the_next_one(self):
         """A change would arrive through one reader only, and not at all if that one failed too."""
@@ -140,16 +142,25 @@
     def test_node_without_a_working_source_reads_the_store(self):
         """A node that is cut off from its peers would follow nobody."""
         self.follow_preferred(0.0)
-        self.assertFalse(must_read_store(self.state, self.reading, self.own, 0.0, 1.0))
-        self.assertTrue(
-            must_read_store(self.state, self.reading, self.own, 0.0, FALLBACK_DELAY_S + 0.1)
-        )
+        for now, role in (
+            (1.0, StoreRole.FOLLOWER),
+            (SOURCE_SILENCE_S + 0.1, StoreRole.FALLBACK),
+        ):
+            with self.subTest(now=now):
+                self.assertIs(decide_role(self.state, self.reading, self.own, 0.0, now), role)
+
+    def test_node_waits_longer_if_its_sources_cannot_read_either(self):
+        """In an outage of the store all nodes would call it."""
+        self.follow_preferred(0.0)
+        self.follow_preferred(3.0, is_current=False)
+        self.assertIs(decide_role(self.state, self.reading, self.own, 0.0, 3.0), StoreRole.FOLLOWER)
+        self.assertIs(decide_role(self.state, self.reading, self.own, 1.0, 5.0), StoreRole.FALLBACK)
 
     def test_followed_node_reads_the_store(self):
         """A node recruited by another one would have nothing to report."""
         self.follow_preferred(0.0)
         set_followers(self.state, 1)
-        self.assertTrue(must_read_store(self.state, self.reading, self.own, 0.0, 0.1))
+        self.assertIs(decide_role(self.state, self.reading, self.own, 0.0, 0.1), StoreRole.READER)
 
 
 def item(key, revision, body=b"x"):
