Replace a copy with a false revision, and show control bytes in the metrics

Cause: a node that starts without the store takes the first copy that a connected node sends. If that claimed a revision beyond the store's, the node would have ignored every later change.

The bytes of control messages between nodes, which were counted, are on the metrics page.

Result: a test with a copy that claims revision 2**62.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -228,7 +228,7 @@
         self, request: HttpRequest, respond: ResponseCallback
     ) -> RequestHandle | None:
         content, headers = self.metrics.page(
-            self.fleet, self.target_queue, self.reading, self.sources
+            self.fleet, self.target_queue, self.reading, self.sources, self.links.traffic
         )
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         respond(HttpResponse(200, lines.encode("ascii"), content))
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -8,6 +8,7 @@
 
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import FleetState
+from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.store import StoreReadState
 from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
 from jacinthsail.internal.model.target_queue import TargetQueue, WorkKind
@@ -40,6 +41,7 @@
         queue: TargetQueue,
         reading: StoreReadState,
         sources: StoreSources,
+        traffic: TrafficState,
     ) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers."""
         registry = Registry()
@@ -69,6 +71,14 @@
             ),
             "store_sources": ("Nodes that this node follows", len(sources["sources"])),
             "store_followers": ("Nodes that follow this one", sources["followers"]),
+            "control_bytes_sent": (
+                "Bytes of control messages sent to other nodes",
+                traffic["control_bytes_sent"],
+            ),
+            "control_bytes_received": (
+                "Bytes of control messages received from other nodes",
+                traffic["control_bytes_received"],
+            ),
             "manifest_version": ("Version of the manifest in force", manifest_version(fleet)),
         }
         for name, (doc, value) in gauges.items():
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -12,7 +12,7 @@
 
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.store_exchange import StoreExchange
-from jacinthsail.internal.commands.store_copy import record_copied, record_items
+from jacinthsail.internal.commands.store_copy import distrust_copy, record_copied, record_items
 from jacinthsail.internal.commands.store_reading import apply_changes, record_response
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import (
@@ -123,6 +123,14 @@
         _log_response(response, failures)
         if isinstance(response, StoreUnavailable):
             self.exchange.ask_for_first_copy()
+        if isinstance(response, StoreSnapshot) and response.revision < self.copy["revision"]:
+            # The store never goes back, so the copy came from a faulty node.
+            _LOG.error(
+                "store is at revision %d, the copy claims %d; the copy is replaced",
+                response.revision,
+                self.copy["revision"],
+            )
+            distrust_copy(self.copy)
         if isinstance(response, StoreSnapshot | StoreDelta) and is_newer(self.copy, response):
             self.apply_update(response, STORE)
             return
--- a/src/jacinthsail/internal/commands/store_copy.py
+++ b/src/jacinthsail/internal/commands/store_copy.py
@@ -26,6 +26,15 @@
         copy["complete_since"] = max(copy["complete_since"], copy["removals"].pop(key))
 
 
+def distrust_copy(copy: StoreCopy) -> None:
+    """Let the next snapshot replace every item, because the copy claims a false revision."""
+    for key, item in copy["items"].items():
+        copy["items"][key] = item._replace(revision=0)
+    copy["removals"].clear()
+    copy["complete_since"] = 0
+    copy["revision"] = 0
+
+
 @singledispatch
 def record_copied(update: object, copy: StoreCopy) -> None:
     """Record the revision up to which the copy is complete after an update."""
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jacinthsail.internal.commands.store_copy import record_copied, record_items
+from jacinthsail.internal.commands.store_copy import distrust_copy, record_copied, record_items
 from jacinthsail.internal.commands.store_sources import (
     add_source,
     record_report,
@@ -223,6 +223,14 @@
         self.assertFalse(is_plausible(copy, StoreDelta((item("a", 2**62),), 5, 6)))
         self.assertTrue(is_plausible(copy, StoreDelta((item("a", 6),), 5, 6)))
 
+    def test_snapshot_of_the_store_replaces_a_copy_with_a_false_revision(self):
+        """A faulty node could keep a node that starts from ever learning a change."""
+        copy = self.copy(StoreSnapshot((item("a", 2**62), item("b", 3)), 2**62))
+        distrust_copy(copy)
+        snapshot = StoreSnapshot((item("a", 4), item("c", 5)), 6)
+        apply(copy, snapshot)
+        self.assertEqual(copy["items"], {"a": item("a", 4), "c": item("c", 5)})
+
     @DETERMINISTIC
     @given(
         st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), min_size=1, max_size=20),
