--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -33,7 +33,7 @@
 )
 from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.internal.queries.fleet_view import manifest_version
-from jacinthsail.internal.queries.store_copy import is_newer, items_to_apply
+from jacinthsail.internal.queries.store_copy import contradicts_copy, is_newer, items_to_apply
 from jacinthsail.internal.queries.store_reading import next_read, read_delay_s
 
 _LOG = logging.getLogger("jacinthsail.store")
@@ -89,9 +89,10 @@
             if not self.reading["needs_snapshot"]:
                 await self.exchange.reads_store.wait()
             await self._pause()
+            known_revision = self.copy["revision"]
             try:
                 response = await self._read()
-                self._apply_response(response, loop.time())
+                self._apply_response(response, known_revision, loop.time())
             except Exception:
                 # Without this, one unexpected message would end the process.
                 _LOG.exception("unexpected error while following the store")
@@ -117,18 +118,17 @@
         assert isinstance(read, ReadChanges)
         return await self.client.read_changes(read.after, read.wait_s)
 
-    def _apply_response(self, response: StoreResponse, now: float) -> None:
+    def _apply_response(self, response: StoreResponse, known_revision: int, now: float) -> None:
+        """Apply a response; ``known_revision`` is that of the copy when the read began."""
         failures = self.reading["failures"]
         record_response(response, self.reading, self.fleet, now)
         _log_response(response, failures)
         if isinstance(response, StoreUnavailable):
             self.exchange.ask_for_first_copy()
-        if isinstance(response, StoreSnapshot) and response.revision < self.copy["revision"]:
-            # The store never goes back, so the copy came from a faulty node.
+        if contradicts_copy(response, known_revision):
             _LOG.error(
-                "store is at revision %d, the copy claims %d; the copy is replaced",
-                response.revision,
-                self.copy["revision"],
+                "the copy claims revision %d, which the store has not reached; it is replaced",
+                known_revision,
             )
             distrust_copy(self.copy)
         if isinstance(response, StoreSnapshot | StoreDelta) and is_newer(self.copy, response):
--- a/src/jacinthsail/internal/queries/store_copy.py
+++ b/src/jacinthsail/internal/queries/store_copy.py
@@ -7,6 +7,7 @@
     StoreCopy,
     StoreDelta,
     StoreDifference,
+    StoreResponse,
     StoreSnapshot,
     StoreUpdate,
 )
@@ -58,6 +59,15 @@
     return max(newest, update.revision) - copy["revision"] <= MAX_REVISION_STEP
 
 
+def contradicts_copy(response: StoreResponse, known_revision: int) -> bool:
+    """Return whether a snapshot of the store shows that the copy came from a faulty node.
+
+    The store never goes back. A copy that became newer while the snapshot was read is no
+    contradiction, so ``known_revision`` is that of the copy when the read began.
+    """
+    return isinstance(response, StoreSnapshot) and response.revision < known_revision
+
+
 def known_revision(copy: StoreCopy, key: str) -> int:
     """Return the revision of the newest known change of an item, or 0 if there is none."""
     item = copy["items"].get(key)
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -24,6 +24,7 @@
     MAX_REMOVALS,
     MAX_REVISION_STEP,
     changes_since,
+    contradicts_copy,
     follows,
     is_newer,
     is_plausible,
@@ -226,11 +227,22 @@
     def test_snapshot_of_the_store_replaces_a_copy_with_a_false_revision(self):
         """A faulty node could keep a node that starts from ever learning a change."""
         copy = self.copy(StoreSnapshot((item("a", 2**62), item("b", 3)), 2**62))
-        distrust_copy(copy)
         snapshot = StoreSnapshot((item("a", 4), item("c", 5)), 6)
+        self.assertTrue(contradicts_copy(snapshot, copy["revision"]))
+        distrust_copy(copy)
         apply(copy, snapshot)
         self.assertEqual(copy["items"], {"a": item("a", 4), "c": item("c", 5)})
 
+    def test_report_that_arrives_while_a_snapshot_is_read_stays_in_force(self):
+        """A removed target would be used again, because the snapshot is older than the report."""
+        copy = self.copy(StoreSnapshot((item("a", 3),), 5))
+        known = copy["revision"]
+        apply(copy, StoreDelta((item("a", 7, None),), 5, 8))
+        snapshot = StoreSnapshot((item("a", 3),), 6)
+        self.assertFalse(contradicts_copy(snapshot, known))
+        apply(copy, snapshot)
+        self.assertEqual((copy["items"], copy["revision"]), ({}, 8))
+
     @DETERMINISTIC
     @given(
         st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), min_size=1, max_size=20),
