--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -74,8 +74,9 @@
         # Numbers of the nodes that are cut off: their calls wait until their connection ends.
         self.silent_to = set()
         self.answer_delay_s = 0.004
-        # When each node called last.
+        # When each node called last, and the connections of its waiting watches.
         self.called_at = {}
+        self.watching = {}
 
     async def listen(self, number, host, port):
         """Listen at the address that the settings of one node name, which tells the nodes apart."""
@@ -90,6 +91,12 @@
         now = time.monotonic()
         return {number for number, at in self.called_at.items() if now - at < within_s}
 
+    async def cut_watch(self, number):
+        """Close the connection of a node's next call that waits for an event."""
+        while number not in self.watching:
+            await asyncio.sleep(0.01)
+        self.watching.pop(number).close()
+
     def put(self, key, value):
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
@@ -119,7 +126,9 @@
                 if number in self.silent_to:
                     await reader.read()
                     break
+                self.watching[number] = writer
                 status, answer = await self._answer(first.split(" ")[1])
+                self.watching.pop(number, None)
                 if number in self.silent_to:
                     await reader.read()
                     break
