--- a/review/4/case.py
+++ b/review/4/case.py
@@ -45,7 +45,7 @@
             await deployment.start_node(number, service, zone)
         for number in ZONES:
             await deployment.wait_ready(number)
-        await asyncio.sleep(8)
+        await asyncio.sleep(12)
         readers = sorted(store.readers())
         record.line(f"nodes that read the store: {readers}")
         calm = [number for number in ZONES if number not in readers]
