--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,9 @@
 """CONFIG: a route moves while the two nodes that read the store for a region are cut off.
 
-Eight nodes in two zones of one region, with two targets of each of four services. The two that read the store for the others are stopped for 4 s;
-to the others they look like machines that are cut off. 50 ms after the cut, the operator moves a route
-from one service to another. Clients at the nodes without any disruption send requests on that route.
+Twelve nodes in two zones of one region, with three targets of each of four services. The two that read
+the store for the others are stopped for 4 s; to the others they look like machines that are cut off.
+50 ms after the cut, the operator moves a route from one service to another. Clients at the nodes
+without any disruption send requests on that route.
 """
 
 import asyncio
@@ -18,7 +19,7 @@
 CONFIG_APPLY_S = 2.0
 WORK_MS, INTERVAL_S = 20, 0.05
 SERVICES = ("drafts", "filings", "billing", "seals")
-ZONES = {number: "manila" if number <= 4 else "baguio" for number in range(1, 9)}
+ZONES = {number: "manila" if number <= 6 else "baguio" for number in range(1, 13)}
 
 
 async def case(folder):
