A caller's reset no longer ends requests of other callers

Cause: the last response of a connection is followed by write_eof(). If the caller has closed its socket and the loop has not read that yet, the write makes the kernel reset the connection, and write_eof() raises ENOTCONN. The exception passed through OpenRequest.on_outcome and PeerLink.deliver into PeerConnection.data_received, for which asyncio closes the connection to the peer without a log line. Every request in flight on it then counted as Unknown. With the local target, the exception ended LocalTarget._end before it started the next queued request, and in on_closed it left the remaining requests of a lost connection without an outcome.

Change: the caller's connection handles the error itself. Outcome callbacks and handlers of peer messages are also guarded and logged, so that no other exception takes this way.

--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -1,6 +1,7 @@
 """One TCP connection between two nodes, used by both ends."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from functools import singledispatch
@@ -25,6 +26,8 @@
 )
 from jacinthsail.internal.model.peers import ConnectionView, TrafficState
 
+_LOG = logging.getLogger("jacinthsail.peers")
+
 # With more unsent bytes than this, the peer counts as unreachable and no further call is written.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
@@ -121,11 +124,18 @@
             case Success(message):
                 if is_control(message):
                     self.traffic["control_bytes_received"] += LENGTH_PREFIX.size + len(payload)
-                self.on_message(self, message)
+                self._handle(message)
             case Failure(_):
                 # After an undecodable frame the rest of the stream cannot be trusted.
                 self.abort()
 
+    def _handle(self, message: Message) -> None:
+        try:
+            self.on_message(self, message)
+        except Exception:
+            # The event loop would close the connection, and with it all requests in flight on it.
+            _LOG.exception("unhandled exception while handling a %s", type(message).__name__)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner that the connection is closed."""
         self.transport = None
--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -1,6 +1,7 @@
 """Serves the requests of callers: routes them, sends them and returns the response."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from functools import singledispatch
 from random import Random
@@ -61,7 +62,7 @@
     ReturnResponse,
 )
 from jacinthsail.internal.model.retry_budget import RetryKind
-from jacinthsail.internal.model.statuses import STATUS_TIMEOUT
+from jacinthsail.internal.model.statuses import STATUS_BAD_GATEWAY, STATUS_TIMEOUT
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.lineage import arrival_rank, find_parent
 from jacinthsail.internal.queries.manifest_routes import decide_entry
@@ -85,6 +86,8 @@
 
 STATUS_BAD_REQUEST = 400
 
+_LOG = logging.getLogger("jacinthsail.callers")
+
 _UNREACHABLE_REASONS = frozenset({Reason.PEER_UNREACHABLE, Reason.TARGET_UNREACHABLE})
 
 
@@ -269,6 +272,18 @@
     def on_outcome(self, outcome: ForwardedOutcome) -> None:
         """Handle the outcome of one attempt and take the next step."""
         now = self.entry.loop.time()
+        try:
+            self._take_next_step(outcome, now)
+        except Exception:
+            _LOG.exception(
+                "unhandled exception after an attempt of request %s",
+                self.request_state["request_info"].request_id,
+            )
+            # The attempt may have executed the request.
+            step = FailRequest(STATUS_BAD_GATEWAY, Reason.INTERNAL_ERROR, 0.0)
+            self.respond_without_target(step, now)
+
+    def _take_next_step(self, outcome: ForwardedOutcome, now: float) -> None:
         incarnation = self.request_state["current_target"]
         self.handle = None
         record_call_end(self.entry.fleet, incarnation)
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -336,7 +336,14 @@
         """Close the sending side after the written data; the caller closes its own side."""
         assert self.transport is not None
         self.ignores_input = True
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError as error:
+            # The kernel may have reset the connection before the event loop has read the reset. The
+            # exception must not reach the code that delivered the response.
+            _LOG.info("caller disconnected before its last response: %s", type(error).__name__)
+            self.transport.abort()
+            return
         asyncio.get_running_loop().call_later(LINGER_TIME_S, self._close)
 
     def _close(self) -> None:
--- a/src/jacinthsail/internal/adapters/local_target.py
+++ b/src/jacinthsail/internal/adapters/local_target.py
@@ -449,7 +449,7 @@
         on_outcome = request.on_outcome
         request.on_outcome = None
         if on_outcome is not None:
-            on_outcome(outcome)
+            report_outcome(on_outcome, outcome, request.forwarded.request_id)
 
     def _log(self, event: str, request: LocalRequest, reason: Reason, now: float) -> None:
         """Log a decision or a failure with the state of the queue that led to it."""
@@ -492,6 +492,18 @@
             connection.abort()
 
 
+def report_outcome(on_outcome: OnOutcome, outcome: ForwardedOutcome, request_id: str) -> None:
+    """Report the outcome of one request.
+
+    An exception of the callback is logged here. It would otherwise end a loop over several
+    requests, or make the event loop close a connection that carries other requests.
+    """
+    try:
+        on_outcome(outcome)
+    except Exception:
+        _LOG.exception("unhandled exception while reporting the outcome of request %s", request_id)
+
+
 def idle_limit_s(connection: HttpClientConnection) -> float:
     """Return how long a connection may stay idle before the target might close it."""
     stated_s = connection.idle_timeout_s
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from jacinthsail.internal.adapters.connection import PeerConnection
-from jacinthsail.internal.adapters.local_target import LocalRequest, LocalTarget
+from jacinthsail.internal.adapters.local_target import LocalRequest, LocalTarget, report_outcome
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.messages import (
@@ -98,7 +98,7 @@
         on_outcome = self.on_outcome
         self.on_outcome = None
         if on_outcome is not None:
-            on_outcome(outcome)
+            report_outcome(on_outcome, outcome, self.forwarded.request_id)
 
 
 class PeerLink:
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -49,6 +49,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     BODY_TOO_LARGE = "body-too-large"
     SLOW_CALLER = "slow-caller"
+    INTERNAL_ERROR = "internal-error"
 
 
 class CallContext(NamedTuple):
