Tell pipelining callers that a stopping node closes

Cause: while the server closes, "Connection: close" was sent only with a response behind which no other request of the connection waited. The pipeline of such a client is never empty, so the header was never sent, and each further request was read and passed on.

Change: while the server closes, the next request that a connection completes is its last one. Its response closes the connection; what is sent behind it is not read, which clients may rely on.

The new test in test_planned_stop fails on the code before (all 14 requests were passed on, and the connection was cut).

--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -255,7 +255,9 @@
         if self.ignores_input:
             return
         method = self.parser.get_method().decode("ascii")
-        closes = not self.parser.should_keep_alive()
+        # While the server closes, the next request of each connection is its last one. A caller
+        # that never waits for a response would otherwise use the connection until it is cut.
+        closes = self.server.is_closing or not self.parser.should_keep_alive()
         pending = PendingResponse(self, closes, method == "HEAD")
         if closes:
             self.ignores_input = True
--- /dev/null
+++ b/tests/fast/test_planned_stop.py
@@ -0,0 +1,51 @@
+"""Guards planned stops of a node, with callers that keep their connections in use."""
+
+import asyncio
+import unittest
+
+from jacinthsail.testing.platform_stand_ins import TargetStandIn
+from tests.common.platform_testbed import CALLERS_PORT, PlatformTestbed
+
+WORK_S = 0.3
+PIPELINE_INTERVAL_S = 0.1
+
+
+def respond_after_work(target, request, respond):
+    asyncio.get_running_loop().call_later(WORK_S, lambda: respond(target.response_to(request)))
+
+
+async def start_fleet(testbed, behaviour=respond_after_work):
+    """Start a target behind node 2, and node 1 for the callers."""
+    await testbed.add_target(2, TargetStandIn("i-2", behaviour))
+    await testbed.add_node(2, service="seals")
+    await testbed.add_node(1)
+    await testbed.wait_until_listed(1)
+
+
+def lookup(number):
+    return f"GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: r-{number}\r\n\r\n".encode()
+
+
+class PipeliningCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_pipelining_caller_is_told_that_the_connection_closes(self):
+        """The connection was cut at the end of the grace period with requests in flight."""
+        async with PlatformTestbed() as testbed:
+            await start_fleet(testbed)
+            reader, writer = await asyncio.open_connection(testbed.host(1), CALLERS_PORT)
+            received = asyncio.ensure_future(reader.read())
+            for number in range(4):
+                writer.write(lookup(number))
+                await asyncio.sleep(PIPELINE_INTERVAL_S)
+            stopping = asyncio.ensure_future(testbed.nodes[1].stop())
+            # The caller does not wait for responses, so the connection never becomes idle.
+            for number in range(4, 14):
+                writer.write(lookup(number))
+                await asyncio.sleep(PIPELINE_INTERVAL_S)
+            text = await asyncio.wait_for(received, 3.0)
+            writer.close()
+            await stopping
+            executed = len(testbed.targets[2].executions)
+            self.assertEqual(text.count(b"HTTP/1.1 200 "), executed)
+            self.assertEqual(text.count(b"Connection: close"), 1)
+            self.assertIn(f"ran r-{executed - 1}".encode(), text.rpartition(b"\r\n\r\n")[2])
+            self.assertLess(executed, 14)
