Take only a long outage of the store for one that expired entries

Cause: the end of one failed read of one reader counted as the store's return, and was reported to all nodes that follow it. Each removal of the next 2 s was then taken for an entry that expired during an outage, and kept for 2 s more, counted from the removal.

Change: reports carry the age of the sender's last successful read. Each node keeps the time at which the store last served itself or any node that it follows, and only a gap of two heartbeat intervals or more counts as an outage, since no entry expires in a shorter one. Removals are certain 2 s after the return, whenever they were published.

The new test in test_store_sharing fails on the code before.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -120,7 +120,7 @@
         settings = self.settings
         incarnation = uuid4().hex
         self.is_draining = False
-        self.fleet = new_fleet(settings.location)
+        self.fleet = new_fleet(settings.location, settings.heartbeat_s)
         self.reading = new_read_state()
         self.copy = new_store_copy()
         self.sources = new_store_sources()
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -114,8 +114,10 @@
       isSnapshot @31 :Bool;
       isDifference @34 :Bool;
       isCurrent @32 :Bool;
-      # The largest value stands for "no outage yet".
+      # Not used; always the largest value, which earlier versions read as "no outage yet".
       recoveredAgoMs @33 :UInt32;
+      # The largest value stands for "no successful read yet".
+      readAgeMs @35 :UInt32 = 0xffffffff;
     }
   }
 }
--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -8,7 +8,7 @@
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.adapters.peer_links import PeerLink, PeerLinks
 from jacinthsail.internal.adapters.wire import encode_frame
-from jacinthsail.internal.commands.fleet import record_store_recovery
+from jacinthsail.internal.commands.fleet import record_store_served
 from jacinthsail.internal.commands.store_sources import (
     add_source,
     record_report,
@@ -23,7 +23,7 @@
 from jacinthsail.internal.model.store import StoreCopy, StoreDelta, StoreReadState, StoreUpdate
 from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
 from jacinthsail.internal.queries.store_copy import changes_since, follows, is_newer, is_plausible
-from jacinthsail.internal.queries.store_reading import is_read_current
+from jacinthsail.internal.queries.store_reading import is_read_current, read_age_s
 from jacinthsail.internal.queries.store_sources import (
     REPORT_INTERVAL_S,
     SOURCE_SILENCE_S,
@@ -154,8 +154,8 @@
             return
         now = self.loop.time()
         record_report(self.sources, host, report.is_current, now)
-        if report.recovered_ago_s is not None:
-            record_store_recovery(self.fleet, now - report.recovered_ago_s)
+        if report.read_age_s is not None:
+            record_store_served(self.fleet, now - report.read_age_s)
         if not is_newer(self.copy, update):
             return
         if not follows(update, self.copy):
@@ -215,12 +215,9 @@
                 connection.send_frame(frame, True)
 
     def _report_with(self, update: StoreUpdate) -> StoreReport:
-        recovered_at = self.fleet["store_recovered_at"]
         now = self.loop.time()
         return StoreReport(
-            update,
-            is_read_current(self.reading, now),
-            now - recovered_at if recovered_at > float("-inf") else None,
+            update, is_read_current(self.reading, now), read_age_s(self.reading, now)
         )
 
 
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -218,8 +218,9 @@
     report.isDifference = isinstance(update, StoreDifference)
     report.after = 0 if isinstance(update, StoreSnapshot) else update.after
     report.isCurrent = message.is_current
-    report.recoveredAgoMs = (
-        MAX_UINT32 if message.recovered_ago_s is None else milliseconds(message.recovered_ago_s)
+    report.recoveredAgoMs = MAX_UINT32
+    report.readAgeMs = (
+        MAX_UINT32 if message.read_age_s is None else milliseconds(message.read_age_s)
     )
     items = report.init("items", len(update.items))
     for index, item in enumerate(update.items):
@@ -364,8 +365,8 @@
         update = StoreSnapshot(tuple(items), report.revision)
     elif report.isDifference:
         update = StoreDifference(tuple(items), report.after, report.revision)
-    ago_ms = report.recoveredAgoMs
-    return StoreReport(update, report.isCurrent, None if ago_ms == MAX_UINT32 else ago_ms / 1000)
+    age_ms = report.readAgeMs
+    return StoreReport(update, report.isCurrent, None if age_ms == MAX_UINT32 else age_ms / 1000)
 
 
 def _decode_load(reader: Any) -> LoadReport:
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -15,6 +15,7 @@
     NOT_READY_PERIOD_S,
     distance_to,
     failure_rate_after,
+    is_outage,
     new_target_view,
     suspicion_s,
 )
@@ -75,9 +76,11 @@
         fleet["unconfirmed_removals"][incarnation] = UnconfirmedRemoval(entry, until)
 
 
-def record_store_recovery(fleet: FleetState, now: float) -> None:
-    """Record when the store responded again after an outage."""
-    fleet["store_recovered_at"] = max(now, fleet["store_recovered_at"])
+def record_store_served(fleet: FleetState, served_at: float) -> None:
+    """Record that the store served a read, which may end an outage."""
+    if is_outage(fleet, served_at):
+        fleet["store_recovered_at"] = served_at
+    fleet["store_served_at"] = max(served_at, fleet["store_served_at"])
 
 
 def record_call_sent(fleet: FleetState, entry: TargetEntry) -> None:
--- a/src/jacinthsail/internal/commands/store_reading.py
+++ b/src/jacinthsail/internal/commands/store_reading.py
@@ -6,7 +6,7 @@
 from jacinthsail.internal.commands.fleet import (
     install_manifest,
     put_target,
-    record_store_recovery,
+    record_store_served,
     record_unconfirmed_removal,
     remove_target,
 )
@@ -24,10 +24,9 @@
     UndecodableItem,
 )
 from jacinthsail.internal.queries.fleet_view import (
-    REMOVAL_GRACE_S,
     expired_unconfirmed_removals,
     is_newer_manifest,
-    is_removal_unconfirmed,
+    removals_confirmed_at,
 )
 
 
@@ -62,8 +61,7 @@
 
 def record_read(reading: StoreReadState, fleet: FleetState, now: float) -> None:
     """Count a read to which the store responded."""
-    if reading["failures"]:
-        record_store_recovery(fleet, now)
+    record_store_served(fleet, now)
     reading["failures"] = 0
     reading["last_read_at"] = now
     reading["reads"] += 1
@@ -94,8 +92,9 @@
 
 @apply_change.register
 def _(change: TargetRemoved, fleet: FleetState, now: float) -> None:
-    if is_removal_unconfirmed(fleet, now):
-        record_unconfirmed_removal(fleet, change.incarnation, now + REMOVAL_GRACE_S)
+    confirmed_at = removals_confirmed_at(fleet)
+    if now < confirmed_at:
+        record_unconfirmed_removal(fleet, change.incarnation, confirmed_at)
         return
     remove_target(fleet, change.incarnation)
 
--- a/src/jacinthsail/internal/model/fleet.py
+++ b/src/jacinthsail/internal/model/fleet.py
@@ -98,6 +98,8 @@
 
     ``location`` is this node's location, from which the distances of the targets follow.
     ``split_positions`` counts the requests of each route that is split between services.
+    ``store_served_at`` is when the store last served a read of this node or of one that it follows,
+    and ``store_recovered_at`` when it did so again after an outage of at least ``min_outage_s``.
     """
 
     location: NodeLocation
@@ -107,6 +109,8 @@
     targets: dict[str, TargetEntry]
     by_service: dict[str, dict[Distance, tuple[TargetAtDistance, ...]]]
     unconfirmed_removals: dict[str, UnconfirmedRemoval]
+    min_outage_s: float
+    store_served_at: float
     store_recovered_at: float
     views: dict[str, TargetView]
 
--- a/src/jacinthsail/internal/model/fleet_settings.py
+++ b/src/jacinthsail/internal/model/fleet_settings.py
@@ -22,7 +22,8 @@
 
     Callers and the target on this VM send requests to ``callers``; other nodes connect to
     ``peers``, whose port is the same on every node. ``grace_s`` is the time between the stop
-    signal and the end of the process.
+    signal and the end of the process, and ``heartbeat_s`` the interval at which targets renew their
+    entries in the store.
     """
 
     location: NodeLocation
@@ -34,4 +35,5 @@
     metrics: Endpoint
     budget: RetryBudgetSettings
     grace_s: float
+    heartbeat_s: float
     log_buffer_lines: int
--- a/src/jacinthsail/internal/model/messages.py
+++ b/src/jacinthsail/internal/model/messages.py
@@ -120,12 +120,12 @@
     """Published items from a node that another one follows; the update may contain none.
 
     ``is_current`` is true if the sender's last read of the store succeeded.
-    ``recovered_ago_s`` is the time since the store recovered from an outage, or None.
+    ``read_age_s`` is the time since that read, or since an earlier one that succeeded, or None.
     """
 
     update: StoreUpdate
     is_current: bool
-    recovered_ago_s: float | None
+    read_age_s: float | None
 
 
 Message = (
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -35,17 +35,21 @@
 # Lower rates do not change the choice of a target, so they count as 0.
 MIN_FAILURE_RATE = 0.01
 
-# How long a removal stays unconfirmed: the platform documents that entries which expired while its
-# store was unavailable are listed again within about 2 s.
-REMOVAL_GRACE_S = 2.0
-
-# A removal within this time after the store has recovered may be an entry that expired during the
-# outage.
+# Entries that expired during an outage of the store are listed again within this time after it.
 STORE_RECOVERY_PERIOD_S = 2.0
 
+# An entry expires after three heartbeat intervals without a heartbeat, of which one may have passed
+# before the outage. A shorter outage expires no entry.
+MIN_OUTAGE_HEARTBEATS = 2
+
+DEFAULT_HEARTBEAT_S = 1.5
+
 
-def new_fleet(location: NodeLocation) -> FleetState:
-    """Return the fleet state of a node that has read nothing from the store yet."""
+def new_fleet(location: NodeLocation, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> FleetState:
+    """Return the fleet state of a node that has read nothing from the store yet.
+
+    ``heartbeat_s`` is the interval at which targets renew their entries.
+    """
     return FleetState(
         location=location,
         manifest=None,
@@ -54,6 +58,8 @@
         targets={},
         by_service={},
         unconfirmed_removals={},
+        min_outage_s=MIN_OUTAGE_HEARTBEATS * heartbeat_s,
+        store_served_at=float("-inf"),
         store_recovered_at=float("-inf"),
         views={},
     )
@@ -135,9 +141,19 @@
     return fleet["manifest"] is None or manifest.version > fleet["manifest"].version
 
 
-def is_removal_unconfirmed(fleet: FleetState, now: float) -> bool:
-    """Return whether an entry that is removed now may be listed again."""
-    return now - fleet["store_recovered_at"] <= STORE_RECOVERY_PERIOD_S
+def is_outage(fleet: FleetState, served_at: float) -> bool:
+    """Return whether the store served nobody for so long that entries expired, until ``served_at``.
+
+    A failed read of one node is no outage while the store serves another node.
+    """
+    if fleet["store_served_at"] == float("-inf"):
+        return False
+    return served_at - fleet["store_served_at"] >= fleet["min_outage_s"]
+
+
+def removals_confirmed_at(fleet: FleetState) -> float:
+    """Return the time from which a removed entry is known not to be listed again."""
+    return fleet["store_recovered_at"] + STORE_RECOVERY_PERIOD_S
 
 
 def expired_unconfirmed_removals(fleet: FleetState, now: float) -> tuple[str, ...]:
--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -50,6 +50,11 @@
     return reading["failures"] == 0 and now - reading["last_read_at"] <= MAX_READ_AGE_S
 
 
+def read_age_s(reading: StoreReadState, now: float) -> float | None:
+    """Return the time since the last successful read of the store, or None before the first."""
+    return now - reading["last_read_at"] if reading["reads"] else None
+
+
 def read_delay_s(reading: StoreReadState, role: StoreRole, random: Random) -> float:
     """Return the delay before the next read."""
     if reading["failures"] and role is StoreRole.FALLBACK and not reading["needs_snapshot"]:
--- a/src/jacinthsail/platform/settings.py
+++ b/src/jacinthsail/platform/settings.py
@@ -79,5 +79,7 @@
         ),
         # The time between the stop signal and the end of the process.
         grace_s=duration_s(bounds["grace"]),
+        # The interval at which targets write their entries.
+        heartbeat_s=duration_s(table["heartbeat"]),
         log_buffer_lines=LOG_BUFFER_LINES,
     )
--- a/tests/common/platform_testbed.py
+++ b/tests/common/platform_testbed.py
@@ -123,6 +123,7 @@
             metrics=Endpoint(host, METRICS_PORT),
             budget=RetryBudgetSettings(0.2, 10.0, 50.0),
             grace_s=6.0,
+            heartbeat_s=1.5,
             log_buffer_lines=100,
         )
 
--- a/tests/fast/test_store_reading.py
+++ b/tests/fast/test_store_reading.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 
+from jacinthsail.internal.commands.fleet import record_store_served
 from jacinthsail.internal.commands.store_copy import record_copied, record_items
 from jacinthsail.internal.commands.store_reading import (
     apply_changes,
@@ -22,7 +23,7 @@
     TargetRemoved,
 )
 from jacinthsail.internal.model.store_sources import StoreRole
-from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.fleet_view import new_fleet, removals_confirmed_at
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_reading import (
     MAX_WATCH_WAIT_S,
@@ -104,6 +105,37 @@
         remove_unconfirmed_targets(self.fleet, 11.1)
         self.assertNotIn("a", self.fleet["targets"])
 
+    def test_removal_after_one_failed_read_is_certain(self):
+        """Each failed read would keep removed targets in use for seconds, though none expired."""
+        self.apply(StoreUnavailable("cut"), 1.0)
+        self.apply(StoreDelta((), 5, 5), 1.1)
+        self.apply(StoreDelta((item("a", 6, None),), 5, 6), 1.9, TargetRemoved("a"))
+        self.assertNotIn("a", self.fleet["targets"])
+
+    def test_removals_are_certain_within_a_fixed_time_after_an_outage(self):
+        """A target removed at the end of that time would be kept for as long again."""
+        self.apply(StoreUnavailable("silent"), 1.0)
+        self.apply(StoreDelta((), 5, 5), 9.0)
+        self.apply(StoreDelta((item("a", 6, None),), 5, 6), 10.9, TargetRemoved("a"))
+        remove_unconfirmed_targets(self.fleet, 11.0)
+        self.assertNotIn("a", self.fleet["targets"])
+
+    def test_reader_that_is_cut_off_is_no_outage_while_another_node_reads(self):
+        """A node would take the end of one reader's cut for the store's return."""
+        for served_at in (1.0, 2.5, 4.0, 5.5):
+            record_store_served(self.fleet, served_at)
+        # The reader that was cut off reads again, after 5 s.
+        record_store_served(self.fleet, 6.0)
+        self.apply(StoreDelta((item("a", 6, None),), 5, 6), 6.1, TargetRemoved("a"))
+        self.assertNotIn("a", self.fleet["targets"])
+
+    def test_late_report_of_an_earlier_read_changes_nothing(self):
+        """A report that was delayed would look like the start of a long outage."""
+        record_store_served(self.fleet, 2.5)
+        record_store_served(self.fleet, 1.0)
+        record_store_served(self.fleet, 4.5)
+        self.assertLess(removals_confirmed_at(self.fleet), 0.0)
+
     def test_target_published_again_after_an_outage_stays(self):
         """A target that is published again would be dropped at the end of the grace period."""
         self.apply(StoreUnavailable("silent"), 1.0)
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -112,6 +112,21 @@
             testbed.store.put("op/config", manifest(3))
             await self.wait_for_version(testbed, 3)
 
+    async def test_removed_target_leaves_every_node_after_a_failed_read(self):
+        """One failed read of one reader kept removed targets in use at all nodes that follow it."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            reader = testbed.nodes[self.readers(testbed)[0]]
+            await testbed.wait_until(lambda: testbed.store.watches)
+            for connection in list(testbed.store.port.connections):
+                connection.abort()
+            await testbed.wait_until(lambda: reader.reading["failures"] > 0)
+            await testbed.wait_until(lambda: reader.reading["failures"] == 0)
+            testbed.store.delete("servers/i-1")
+            async with asyncio.timeout(2.0):
+                for node in testbed.nodes.values():
+                    await testbed.wait_until(lambda node=node: "i-1" not in node.fleet["targets"])
+
     async def test_removed_target_leaves_every_node(self):
         """A node that follows others would send requests to a target that has left."""
         async with PlatformTestbed() as testbed:
