Learn of changes in time while both readers are silent

Cause: a follower noticed silent sources only after 2 s, its next source waited for the pause between two reads (0.8 s) before its first one, and reading the store itself as a fallback began 1.2 to 1.9 s after the silence; sources on trial prolonged that. Once the suspicion of a silent reader ended, its substitute was left although the reader had not answered yet. Readers that are cut off from the store only counted as current for 2.2 s and more, until their watch timed out.

Change: reports every 0.4 s, silence after 1.0 s, checks every 0.1 s, and the fallback 0.3 to 0.5 s later. A node that becomes a reader reads at once. A working substitute is kept until two preferred sources work. A read older than 1.5 s no longer counts as current, and watches wait 0.3 s at most. A silent source's connection is closed only if no request is in flight on it.

The tests of test_store_sharing (both readers frozen) and test_store_sources fail on the code before.

--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -26,7 +26,6 @@
 from jacinthsail.internal.queries.store_reading import is_read_current, read_age_s
 from jacinthsail.internal.queries.store_sources import (
     REPORT_INTERVAL_S,
-    SOURCE_SILENCE_S,
     SOURCES_CHECK_INTERVAL_S,
     source_changes,
 )
@@ -66,6 +65,7 @@
         self.links: PeerLinks | None = None
         self.apply_update: ApplyUpdate | None = None
         self.reported_at = 0.0
+        self.reported_current = False
         self.timer: asyncio.TimerHandle | None = None
 
     def start(self, links: PeerLinks, apply_update: ApplyUpdate) -> None:
@@ -83,7 +83,8 @@
         self.timer = self.loop.call_later(SOURCES_CHECK_INTERVAL_S, self._check)
         self.follow_preferred()
         now = self.loop.time()
-        if now - self.reported_at >= REPORT_INTERVAL_S:
+        is_current = is_read_current(self.reading, now)
+        if now - self.reported_at >= REPORT_INTERVAL_S or is_current != self.reported_current:
             self.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
 
     def follow_preferred(self) -> None:
@@ -93,7 +94,7 @@
         changes = source_changes(self.sources, self.reading, self.own_host, now)
         for host in changes.replace:
             _LOG.warning("store reader %s went silent; following another node", host)
-            self._leave_silent_source(self.links.link_to(host), now)
+            self._leave_silent_source(self.links.link_to(host))
             record_source_lost(self.sources, host, now)
         for host in changes.unfollow:
             self.links.link_to(host).send_control(UnfollowStore())
@@ -103,11 +104,13 @@
             self.links.link_to(host).open()
         self._decide_role(now)
 
-    def _leave_silent_source(self, link: PeerLink, now: float) -> None:
-        """Replace a dead connection; one that still carries replies of requests is kept."""
-        connection = link.connection
-        if connection is not None and now - connection.last_received > SOURCE_SILENCE_S:
-            connection.abort()
+    def _leave_silent_source(self, link: PeerLink) -> None:
+        """Close the connection to a silent source, which is probably dead.
+
+        The link itself decides about a connection with requests in flight.
+        """
+        if link.connection is not None and not link.pending:
+            link.connection.abort()
             return
         link.send_control(UnfollowStore())
 
@@ -207,6 +210,7 @@
     def report(self, update: StoreUpdate) -> None:
         """Send an update, which may be empty, to all followers."""
         self.reported_at = self.loop.time()
+        self.reported_current = is_read_current(self.reading, self.reported_at)
         if not self.followers:
             return
         frame = encode_frame(self._report_with(update))
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -103,7 +103,7 @@
     async def _pause(self) -> None:
         """Wait before the next read, but not if other nodes come to rely on this one meanwhile."""
         role = self.exchange.sources["role"]
-        pause_s = read_delay_s(self.reading, role, self.random)
+        pause_s = read_delay_s(self.reading, role, self.random, asyncio.get_running_loop().time())
         if role is not StoreRole.FALLBACK:
             await asyncio.sleep(pause_s)
             return
--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -16,11 +16,12 @@
 WATCH_PAUSE_S = 0.8
 
 # A watch returns after this time even if nothing changes. An unresponsive store is detected only
-# then, and changes must be in force within 2 s of its recovery.
-MAX_WATCH_WAIT_S = 1.4
+# then, and changes must be in force within 2 s.
+MAX_WATCH_WAIT_S = 0.3
 
-# The longest time between two successful reads while the store responds, with some margin.
-MAX_READ_AGE_S = MAX_WATCH_WAIT_S + WATCH_PAUSE_S + 0.6
+# The longest time between two successful reads while the store responds, with some margin. The
+# nodes that follow a reader turn to another one when its last read is older.
+MAX_READ_AGE_S = MAX_WATCH_WAIT_S + WATCH_PAUSE_S + 0.4
 
 # Delay after a failed read. Jitter keeps the nodes from reading simultaneously after an outage.
 INITIAL_RETRY_DELAY_S = 0.1
@@ -55,8 +56,11 @@
     return now - reading["last_read_at"] if reading["reads"] else None
 
 
-def read_delay_s(reading: StoreReadState, role: StoreRole, random: Random) -> float:
-    """Return the delay before the next read."""
+def read_delay_s(reading: StoreReadState, role: StoreRole, random: Random, now: float) -> float:
+    """Return the delay before the next read.
+
+    A node that has just become a reader reads at once.
+    """
     if reading["failures"] and role is StoreRole.FALLBACK and not reading["needs_snapshot"]:
         return random.uniform(MAX_FALLBACK_RETRY_DELAY_S / 2, MAX_FALLBACK_RETRY_DELAY_S)
     if reading["failures"]:
@@ -64,4 +68,6 @@
             MAX_STORE_RETRY_DELAY_S, INITIAL_RETRY_DELAY_S * 2.0 ** (reading["failures"] - 1)
         )
         return random.uniform(longest_s / 2, longest_s)
-    return 0.0 if reading["needs_snapshot"] else WATCH_PAUSE_S
+    if reading["needs_snapshot"]:
+        return 0.0
+    return max(0.0, WATCH_PAUSE_S - (now - reading["last_read_at"]))
--- a/src/jacinthsail/internal/queries/store_sources.py
+++ b/src/jacinthsail/internal/queries/store_sources.py
@@ -6,7 +6,7 @@
 to read.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from itertools import zip_longest
 
 from jacinthsail.internal.model.fleet import FleetState
@@ -25,24 +25,27 @@
 # Bounds the number of readers while the store itself is unavailable and no reader works.
 MAX_SOURCES = 4
 
+# Changes must be in force within 2 s, also if all sources of a node fail at once. The steps until
+# then are SOURCE_SILENCE_S, FALLBACK_DELAY_S with its jitter, two checks and a read of the store.
+
 # A reader reports this often even if nothing changes.
-REPORT_INTERVAL_S = 0.8
+REPORT_INTERVAL_S = 0.4
 
 # A source that sent nothing for this long is frozen, or its connection is dead.
-SOURCE_SILENCE_S = 2.0
+SOURCE_SILENCE_S = 1.0
 
 # A new source has this long to connect and to read the store for the first time.
 SOURCE_TRIAL_S = 1.2
 
 # Without a working source for this long, a node reads the store itself. If its sources still report
 # that they cannot read, the store is probably unavailable for it as well, so it waits longer.
-FALLBACK_DELAY_S = 1.2
+FALLBACK_DELAY_S = 0.3
 UNAVAILABLE_FALLBACK_DELAY_S = 3.0
 
 # Spreads the reads of a failure domain that lost all its readers, as a share of the delay.
 FALLBACK_JITTER_SHARE = 0.6
 
-SOURCES_CHECK_INTERVAL_S = 0.25
+SOURCES_CHECK_INTERVAL_S = 0.1
 
 
 def new_store_sources() -> StoreSources:
@@ -128,6 +131,11 @@
     return now - max(source["received_at"], source["followed_at"]) > SOURCE_SILENCE_S
 
 
+def is_reporting(source: SourceState, now: float) -> bool:
+    """Return whether the reports of a source arrive, whatever they say."""
+    return now - source["received_at"] <= SOURCE_SILENCE_S
+
+
 def source_changes(
     state: StoreSources, reading: StoreReadState, own_host: str, now: float
 ) -> SourceChanges:
@@ -137,17 +145,40 @@
     for host in preferred:
         if host != own_host and host not in state["sources"]:
             follow.append(host)
+    # A substitute is kept until enough preferred sources work: the ones that went silent are tried
+    # again from time to time, and no change would arrive during the trial.
+    has_enough = working_sources(state, reading, own_host, preferred, now) >= SOURCES_PER_NODE
     unfollow = []
     replace = []
     for host, source in state["sources"].items():
         if is_silent(source, now):
             replace.append(host)
             continue
-        if host not in preferred:
+        if host in preferred:
+            continue
+        if has_enough or host not in state["order"] or not is_working(source, now):
             unfollow.append(host)
     return SourceChanges(tuple(follow), tuple(unfollow), tuple(replace))
 
 
+def working_sources(
+    state: StoreSources,
+    reading: StoreReadState,
+    own_host: str,
+    hosts: Iterable[str],
+    now: float,
+) -> int:
+    """Return how many of the hosts are known to read the store successfully."""
+    working = 0
+    for host in hosts:
+        if host == own_host:
+            working += reading["failures"] == 0
+            continue
+        source = state["sources"].get(host)
+        working += source is not None and is_working(source, now)
+    return working
+
+
 def decide_role(
     state: StoreSources,
     reading: StoreReadState,
@@ -163,7 +194,7 @@
     if state["followers"] or own_host in preferred_sources(state, reading, own_host, now):
         return StoreRole.READER
     delay_s = FALLBACK_DELAY_S
-    if any(not is_silent(source, now) for source in state["sources"].values()):
+    if any(is_reporting(source, now) for source in state["sources"].values()):
         delay_s = UNAVAILABLE_FALLBACK_DELAY_S
     delay_s *= 1.0 + FALLBACK_JITTER_SHARE * fallback_jitter
     if now - state["working_at"] > delay_s:
--- a/tests/fast/test_store_reading.py
+++ b/tests/fast/test_store_reading.py
@@ -27,10 +27,13 @@
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_reading import (
     MAX_WATCH_WAIT_S,
+    WATCH_PAUSE_S,
+    is_read_current,
     new_read_state,
     next_read,
     read_delay_s,
 )
+from jacinthsail.internal.queries.store_sources import SOURCES_CHECK_INTERVAL_S
 from tests.common.fleets import LOCATION, manifest, target
 
 # Changes must be in force within this time after the store acknowledged them.
@@ -75,15 +78,30 @@
             self.apply(StoreUnavailable("silent"), 1.0)
             read = next_read(self.reading, self.copy)
             self.assertEqual(read, ReadChanges(5, 0.0))
-            longest_s = max(longest_s, read_delay_s(self.reading, StoreRole.READER, Random(1)))
+            longest_s = max(longest_s, read_delay_s(self.reading, StoreRole.READER, Random(1), 1.0))
         self.assertLess(longest_s + MAX_WATCH_WAIT_S, APPLY_WITHIN_S)
 
+    def test_node_that_becomes_a_reader_reads_at_once(self):
+        """Its followers, whose readers were lost, would wait for the pause between two reads."""
+        for now, expected_s in ((0.1, WATCH_PAUSE_S - 0.1), (WATCH_PAUSE_S + 0.1, 0.0)):
+            with self.subTest(now=now):
+                delay_s = read_delay_s(self.reading, StoreRole.READER, Random(1), now)
+                self.assertAlmostEqual(delay_s, expected_s)
+
+    def test_stale_read_is_noticed_in_time(self):
+        """A reader that is cut off from the store would be followed until its watch timed out."""
+        self.assertTrue(is_read_current(self.reading, MAX_WATCH_WAIT_S + WATCH_PAUSE_S))
+        latest_s = APPLY_WITHIN_S - 2 * SOURCES_CHECK_INTERVAL_S
+        self.assertFalse(is_read_current(self.reading, latest_s))
+
     def test_outage_costs_few_calls_of_nodes_that_read_for_themselves_only(self):
         """Hundreds of nodes would call a store that is down several times a second each."""
         random = Random(1)
         for _ in range(20):
             self.apply(StoreUnavailable("silent"), 1.0)
-            self.assertGreaterEqual(read_delay_s(self.reading, StoreRole.FALLBACK, random), 2.0)
+            self.assertGreaterEqual(
+                read_delay_s(self.reading, StoreRole.FALLBACK, random, 1.0), 2.0
+            )
 
     def test_versions_never_go_back(self):
         """A stale response would restore a route that was removed."""
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -10,6 +10,21 @@
 NODES = 6
 READERS = 2
 
+# Changes must be in force within this time after the store acknowledged them.
+APPLY_WITHIN_S = 2.0
+
+
+def freeze_links(node):
+    """Stop reading and writing on all connections to peers, as if the process were frozen."""
+    links = node.links
+    outbound = [link.connection for link in links.links.values() if link.connection is not None]
+    for connection in [*links.inbound, *outbound]:
+        connection.transport.pause_reading()
+        connection.send_frame = lambda *_arguments: None
+    # The kernel still completes new connections.
+    for listener in links.server.sockets:
+        links.loop.remove_reader(listener.fileno())
+
 
 class StoreSharingTest(unittest.IsolatedAsyncioTestCase):
     async def fleet(self, testbed):
@@ -27,6 +42,10 @@
             if not node.should_stop and node.sources["role"] is StoreRole.READER
         ]
 
+    def followers(self, testbed):
+        roles = [node.sources["role"] for node in testbed.nodes.values()]
+        return roles.count(StoreRole.FOLLOWER)
+
     async def wait_for_version(self, testbed, version):
         for node in testbed.nodes.values():
             if node.should_stop:
@@ -56,20 +75,21 @@
             testbed.store.put("op/config", manifest(2))
             await self.wait_for_version(testbed, 2)
 
-    async def test_change_is_learned_while_the_readers_are_silent(self):
-        """A frozen reader keeps its connections open; its followers would wait for it."""
+    async def test_change_is_learned_in_time_while_the_readers_are_silent(self):
+        """Frozen readers keep their connections open; their followers waited 3 s for them."""
         async with PlatformTestbed() as testbed:
             await self.fleet(testbed)
+            await testbed.wait_until(lambda: self.followers(testbed) == NODES - READERS)
+            # Reads that the followers began before still return the next change.
+            await asyncio.sleep(2.5)
             for number in self.readers(testbed):
                 node = testbed.nodes.pop(number)
-                # The connections stay open, but nothing is sent or read any more.
-                node.exchange.close()
-                node.exchange.followers.clear()
-                node.copy["revision"] = 2**40
+                freeze_links(node)
                 self.addAsyncCleanup(node.stop)
                 node.settings = node.settings._replace(grace_s=0.0)
             testbed.store.put("op/config", manifest(2))
-            await self.wait_for_version(testbed, 2)
+            async with asyncio.timeout(APPLY_WITHIN_S):
+                await self.wait_for_version(testbed, 2)
 
     async def test_odd_entries_do_not_stop_the_followers(self):
         """One unreadable entry of another writer could end the nodes or stop their updates."""
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -36,6 +36,7 @@
     MAX_SOURCES,
     SOURCE_SILENCE_S,
     SOURCE_TRIAL_S,
+    SOURCES_CHECK_INTERVAL_S,
     SOURCES_PER_NODE,
     decide_role,
     new_store_sources,
@@ -46,6 +47,9 @@
 
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=200)
 
+# Changes must be in force within this time after the store acknowledged them.
+APPLY_WITHIN_S = 2.0
+
 HOSTS = tuple(f"10.0.0.{number}" for number in range(1, 25))
 
 
@@ -153,9 +157,47 @@
     def test_node_waits_longer_if_its_sources_cannot_read_either(self):
         """In an outage of the store all nodes would call it."""
         self.follow_preferred(0.0)
-        self.follow_preferred(3.0, is_current=False)
-        self.assertIs(decide_role(self.state, self.reading, self.own, 0.0, 3.0), StoreRole.FOLLOWER)
-        self.assertIs(decide_role(self.state, self.reading, self.own, 1.0, 5.0), StoreRole.FALLBACK)
+        for jitter, now, role in (
+            (0.0, 3.0, StoreRole.FOLLOWER),
+            (1.0, 4.7, StoreRole.FOLLOWER),
+            (1.0, 5.0, StoreRole.FALLBACK),
+        ):
+            self.follow_preferred(now, is_current=False)
+            self.assertIs(decide_role(self.state, self.reading, self.own, jitter, now), role)
+
+    def test_change_arrives_in_time_while_no_other_node_responds(self):
+        """With all its sources cut off, and the next ones as well, a node would learn too late."""
+        self.follow_preferred(0.0)
+        lost_at = SOURCE_SILENCE_S + SOURCES_CHECK_INTERVAL_S
+        for host in self.state["order"][:2]:
+            record_source_lost(self.state, host, lost_at)
+        for host in self.preferred(lost_at):
+            add_source(self.state, host, lost_at)
+        # Replies of the store take up to 0.1 s.
+        latest = APPLY_WITHIN_S - SOURCES_CHECK_INTERVAL_S - 0.1
+        self.state["working_at"] = SOURCE_SILENCE_S
+        self.assertIs(
+            decide_role(self.state, self.reading, self.own, 1.0, latest), StoreRole.FALLBACK
+        )
+
+    def test_working_substitute_is_kept_while_a_lost_reader_is_tried_again(self):
+        """No change would arrive until the trial of the lost reader has failed again."""
+        self.follow_preferred(0.0)
+        first, second = self.state["order"][:2]
+        for host in (first, second):
+            record_source_lost(self.state, host, 1.0)
+        self.follow_preferred(1.0)
+        substitutes = self.state["order"][2:4]
+        for host in substitutes:
+            record_report(self.state, host, True, 3.0)
+        for host in (first, second):
+            add_source(self.state, host, 3.0)
+        changes = source_changes(self.state, self.reading, self.own, 3.1)
+        self.assertEqual(changes.unfollow, ())
+        for host in (first, second):
+            record_report(self.state, host, True, 3.2)
+        changes = source_changes(self.state, self.reading, self.own, 3.3)
+        self.assertEqual(changes.unfollow, substitutes)
 
     def test_followed_node_reads_the_store(self):
         """A node recruited by another one would have nothing to report."""
