Add a fault soak of real processes

Clients keep connections, leave at their time limit, pipeline, send slow bodies or ignore readiness. The checks report processes that end, foreign or incomplete responses, filings that ran twice or were falsely refused, losses around stops and requests to targets that left.

--- a/src/jacinthsail/testing/platform_stand_ins.py
+++ b/src/jacinthsail/testing/platform_stand_ins.py
@@ -207,16 +207,23 @@
         method: str = "GET",
         body: bytes = b"",
         header_lines: str = "",
+        host: str = "h.example",
     ) -> ExchangeResult:
         """Send one request and return its result."""
         assert self.connection is not None, "connect first"
         waiter: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
         length = f"Content-Length: {len(body)}\r\n" if body else ""
         text = (
-            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {request_id}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {request_id}\r\n"
             f"{header_lines}{length}\r\n"
         )
-        self.connection.send(text.encode("latin-1") + body, waiter.set_result)
+
+        def on_result(result: ExchangeResult) -> None:
+            # The waiting task may have been cancelled.
+            if not waiter.done():
+                waiter.set_result(result)
+
+        self.connection.send(text.encode("latin-1") + body, on_result)
         return await waiter
 
 
--- /dev/null
+++ b/src/jacinthsail/testing/soak_checks.py
@@ -0,0 +1,128 @@
+"""Checks what a soak run recorded against the promises to callers and targets."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from jacinthsail.testing.soak_model import (
+    STILL_RUNNING,
+    Attempt,
+    Disturbance,
+    Ending,
+    Execution,
+    SoakRecord,
+    Violation,
+)
+
+GRACE_S = 6.0
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+LOSS_SLACK_S = 0.2
+
+# Requests sent later than this after the signal must be answered before the process ends.
+EXCUSED_AFTER_SIGNAL_S = 3.0
+
+# These statuses promise that the request was not executed and never will be.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
+
+def violations(record: SoakRecord) -> list[Violation]:
+    """Return every promise that was broken."""
+    by_request: dict[str, list[Execution]] = defaultdict(list)
+    for execution in record["executions"]:
+        by_request[execution.request_id].append(execution)
+    found = [Violation("EXIT", "", text) for text in record["unexpected_exits"]]
+    for attempt in record["attempts"]:
+        executions = by_request.get(attempt.request_id, [])
+        found += response_violations(attempt, executions)
+        found += loss_violations(attempt, executions, record["disturbances"])
+    found += drain_violations(record)
+    return found
+
+
+def response_violations(attempt: Attempt, executions: list[Execution]) -> list[Violation]:
+    """Return what is wrong with the response of one attempt, and with its executions."""
+    found = []
+    if attempt.ending is Ending.ANSWERED and 200 <= attempt.status < 300 and not attempt.is_whole:
+        found.append(Violation("MIXED", attempt.request_id, describe(attempt)))
+    if attempt.is_repeatable:
+        return found
+    if len(executions) > 1:
+        found.append(Violation("TWICE", attempt.request_id, describe(attempt)))
+    if executions and attempt.status in NOT_EXECUTED_STATUSES:
+        found.append(Violation("REFUSED", attempt.request_id, describe(attempt)))
+    return found
+
+
+def loss_violations(
+    attempt: Attempt, executions: list[Execution], disturbances: Iterable[Disturbance]
+) -> list[Violation]:
+    """Return the loss of a request around a planned stop of the node that read it."""
+    if attempt.ending is Ending.CLIENT_LEFT or is_answered_by_target(attempt):
+        return []
+    if attempt.ended_at - attempt.sent_at >= attempt.limit_s:
+        return []
+    stop = None
+    for each in disturbances:
+        near = attempt.sent_at - CONTACT_S <= each.at <= attempt.ended_at
+        if not each.is_planned and near:
+            return []
+        if each.name != "stop" or each.node != attempt.node:
+            continue
+        if each.at <= attempt.ended_at <= each.at + GRACE_S + 1.0:
+            stop = each
+    if stop is None:
+        return []
+    if not executions:
+        if attempt.ending is Ending.ANSWERED or attempt.is_behind:
+            return []
+        if attempt.ended_at - attempt.sent_at <= LOSS_SLACK_S:
+            return []
+        return [Violation("LOST", attempt.request_id, f"not passed on: {describe(attempt)}")]
+    last_sixth = stop.at + GRACE_S * 5 / 6
+    was_at_work = any(execution.ended_at >= last_sixth for execution in executions)
+    if was_at_work and attempt.sent_at <= stop.at + EXCUSED_AFTER_SIGNAL_S:
+        return []
+    text = f"{describe(attempt)}, {attempt.sent_at - stop.at:.2f} s after the signal, "
+    text += ", ".join(describe_execution(one, attempt) for one in executions)
+    return [Violation("LOST", attempt.request_id, text)]
+
+
+def is_answered_by_target(attempt: Attempt) -> bool:
+    """Return whether the caller got the response of a target, which may be a failure."""
+    return attempt.ending is Ending.ANSWERED and attempt.is_sealed
+
+
+def drain_violations(record: SoakRecord) -> list[Violation]:
+    """Return the executions by targets that had left, sent by nodes without a disturbance."""
+    left_at = {departure.incarnation: departure.at for departure in record["departures"]}
+    sent = {attempt.request_id: attempt for attempt in record["attempts"]}
+    found = []
+    for execution in record["executions"]:
+        latest = left_at.get(execution.incarnation, STILL_RUNNING) + DRAIN_S
+        attempt = sent.get(execution.request_id)
+        if execution.started_at <= latest or attempt is None:
+            continue
+        # Stopped nodes do not count as undisturbed, nor does any node after a fault.
+        if any(
+            (not each.is_planned or each.name == "stop")
+            and execution.started_at - GRACE_S - CONTACT_S <= each.at <= execution.started_at
+            for each in record["disturbances"]
+        ):
+            continue
+        late_s = execution.started_at - latest
+        found.append(Violation("DRAIN", execution.request_id, f"{late_s:.2f} s too late"))
+    return found
+
+
+def describe(attempt: Attempt) -> str:
+    """Return the facts of an attempt for a report."""
+    kind = "lookup" if attempt.is_repeatable else "filing"
+    took_s = attempt.ended_at - attempt.sent_at
+    return f"{kind} at node {attempt.node} {attempt.ending} {attempt.status} after {took_s:.3f} s"
+
+
+def describe_execution(execution: Execution, attempt: Attempt) -> str:
+    """Return the facts of an execution, with times since the request was sent."""
+    started_s = execution.started_at - attempt.sent_at
+    ended_s = execution.ended_at - attempt.sent_at
+    return f"{execution.incarnation} ran it from {started_s:.3f} to {ended_s:.3f} s"
--- /dev/null
+++ b/src/jacinthsail/testing/soak_model.py
@@ -0,0 +1,178 @@
+"""Data of the fault soak: the plan of one run, and what clients and targets saw in it.
+
+All times are seconds of the event loop's clock.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple, TypedDict
+
+STILL_RUNNING = float("inf")
+
+
+class Ending(StrEnum):
+    """How an attempt of a client ended."""
+
+    ANSWERED = "answered"
+    CUT = "cut"
+    CLIENT_LEFT = "client-left"
+
+
+class Attempt(NamedTuple):
+    """One attempt of a client; ``sent_at`` is when its last byte was written.
+
+    ``is_behind`` is set if it was sent behind an unanswered one on the same connection, and
+    ``is_whole`` if its response carries the seal and the body that belong to it.
+    """
+
+    request_id: str
+    node: int
+    is_repeatable: bool
+    sent_at: float
+    ended_at: float
+    limit_s: float
+    ending: Ending
+    status: int
+    is_sealed: bool
+    is_whole: bool
+    is_behind: bool
+
+
+class Execution(NamedTuple):
+    """One execution of a request by a target."""
+
+    request_id: str
+    incarnation: str
+    started_at: float
+    ended_at: float
+
+
+class Departure(NamedTuple):
+    """A target whose leaving the store acknowledged."""
+
+    incarnation: str
+    at: float
+
+
+class Disturbance(NamedTuple):
+    """Something that happened to a node; ``is_planned`` distinguishes stops from faults."""
+
+    node: int
+    name: str
+    at: float
+    is_planned: bool
+
+
+class SoakRecord(TypedDict):
+    """What was seen in one run."""
+
+    attempts: list[Attempt]
+    executions: list[Execution]
+    departures: list[Departure]
+    disturbances: list[Disturbance]
+    unexpected_exits: list[str]
+
+
+class Violation(NamedTuple):
+    """A promise that was broken."""
+
+    rule: str
+    request_id: str
+    detail: str
+
+
+class StopNode(NamedTuple):
+    """SIGTERM to a node, which is started again after its end."""
+
+    at: float
+    node: int
+
+
+class KillNode(NamedTuple):
+    """SIGKILL to a node, which is started again at once."""
+
+    at: float
+    node: int
+
+
+class FreezeNode(NamedTuple):
+    """SIGSTOP to a node, and SIGCONT after ``for_s``."""
+
+    at: float
+    node: int
+    for_s: float
+
+
+class ReloadNode(NamedTuple):
+    """SIGHUP to a node."""
+
+    at: float
+    node: int
+
+
+class PublishManifest(NamedTuple):
+    """A new version of the manifest."""
+
+    at: float
+
+
+class ReplaceTarget(NamedTuple):
+    """A target leaves and another one takes its place.
+
+    It reports that it is draining, or its entry is removed without a word.
+    """
+
+    at: float
+    node: int
+    announces: bool
+
+
+class CutWatches(NamedTuple):
+    """The store closes all its connections once."""
+
+    at: float
+
+
+class StoreOutage(NamedTuple):
+    """The store answers every call with an error for ``for_s``."""
+
+    at: float
+    for_s: float
+
+
+Action = (
+    StopNode
+    | KillNode
+    | FreezeNode
+    | ReloadNode
+    | PublishManifest
+    | ReplaceTarget
+    | CutWatches
+    | StoreOutage
+)
+
+
+class ClientMix(NamedTuple):
+    """The numbers of clients at each node, by the way in which they send."""
+
+    kept: int
+    leaving: int
+    pipelining: int
+    slow_body: int
+    stubborn: int
+
+
+class SoakPlan(NamedTuple):
+    """One run: the nodes, the clients at each of them, and the actions in the order of time."""
+
+    seed: int
+    nodes: int
+    clients: ClientMix
+    length_s: float
+    actions: tuple[Action, ...]
+
+
+def new_record() -> SoakRecord:
+    """Return the empty record of a run."""
+    return SoakRecord(
+        attempts=[], executions=[], departures=[], disturbances=[], unexpected_exits=[]
+    )
