Send whole responses to slow readers before a node stops

Cause: a request counted as done once its response was handed to the transport. on_shutdown() then aborted the connection, which drops what the transport still holds.

Change: the stop waits until the kernel has taken all written responses, up to 0.3 s before the end of the grace period.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -67,8 +67,10 @@
 # Slots assumed until the local target is published.
 INITIAL_SLOTS = 64
 
-# Reserved at the end of the grace period for closing the remaining connections.
+# Reserved at the end of the grace period for sending the responses of requests that have ended, to
+# callers that read slowly, and for closing the remaining connections.
 STOP_MARGIN_S = 1.0
+EXIT_MARGIN_S = 0.3
 
 # Readiness is probed every second, and callers are sent elsewhere after two failed probes; requests
 # that arrive until then must be served.
@@ -281,13 +283,23 @@
         await asyncio.sleep(max(0.0, closes_at - loop.time()))
         # The local target may still make nested calls for the requests in progress.
         nested_calls_until = min(latest, loop.time() + NESTED_CALLS_DRAIN_S)
-        while loop.time() < nested_calls_until and self.target_queue["in_flight"]:
-            await asyncio.sleep(STOP_POLL_S)
+        await self._wait_while(self._is_target_at_work, nested_calls_until)
         self.callers_port.close_listener()
         self.callers_port.close_idle()
-        while loop.time() < latest and self._has_work():
+        await self._wait_while(self._has_work, latest)
+        self.callers_port.close_all()
+        exits_at = started + self.settings.grace_s - EXIT_MARGIN_S
+        await self._wait_while(self.callers_port.has_unsent_responses, exits_at)
+
+    async def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
+        """Wait while a condition holds, at most until a time."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until and condition():
             await asyncio.sleep(STOP_POLL_S)
 
+    def _is_target_at_work(self) -> bool:
+        return self.target_queue["in_flight"] > 0
+
     def _has_work(self) -> bool:
         if self.router.open_requests or self.target_queue["in_flight"]:
             return True
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -134,6 +134,15 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def close_all(self) -> None:
+        """Close every connection, each after the responses that are written to it."""
+        for connection in list(self.connections):
+            connection.close_after_responses()
+
+    def has_unsent_responses(self) -> bool:
+        """Return whether a caller has not yet accepted all bytes of a response."""
+        return any(connection.unsent_bytes() for connection in self.connections)
+
     def abort_all(self) -> None:
         """Close every connection immediately."""
         for connection in list(self.connections):
@@ -329,6 +338,20 @@
         if not self.pending and not self.in_message and self.transport is not None:
             self.transport.close()
 
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the kernel has not accepted yet."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
+    def close_after_responses(self) -> None:
+        """Close the connection once the written responses are sent; requests in progress end."""
+        if self.transport is None:
+            return
+        if self.unsent_bytes():
+            # Closing with unread bytes would reset the connection, so it is still read.
+            self._half_close()
+            return
+        self.transport.close()
+
     def abort(self) -> None:
         """Close the connection immediately."""
         if self.transport is not None:
--- a/tests/fast/test_planned_stop.py
+++ b/tests/fast/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Guards planned stops of a node, with callers that keep their connections in use."""
 
 import asyncio
+import socket
 import unittest
 
 from jacinthsail.testing.platform_stand_ins import TargetStandIn
@@ -9,6 +10,9 @@
 WORK_S = 0.3
 PIPELINE_INTERVAL_S = 0.1
 
+# Later than the end of a stop without work, and earlier than that of the grace period.
+READ_AFTER_S = 3.6
+
 
 def respond_after_work(target, request, respond):
     asyncio.get_running_loop().call_later(WORK_S, lambda: respond(target.response_to(request)))
@@ -49,3 +53,29 @@
             self.assertEqual(text.count(b"Connection: close"), 1)
             self.assertIn(f"ran r-{executed - 1}".encode(), text.rpartition(b"\r\n\r\n")[2])
             self.assertLess(executed, 14)
+
+
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_slow_reader_gets_the_whole_response(self):
+        """The connection was closed as soon as the response was handed to the transport."""
+        size = 4_000_000
+
+        def respond_with_much(target, request, respond):
+            respond(target.response_to(request, body=b"x" * size))
+
+        async with PlatformTestbed() as testbed:
+            await start_fleet(testbed, respond_with_much)
+            loop = asyncio.get_running_loop()
+            with socket.socket() as connection:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                connection.setblocking(False)
+                await loop.sock_connect(connection, (testbed.host(1), CALLERS_PORT))
+                await loop.sock_sendall(connection, lookup(1))
+                received = len(await loop.sock_recv(connection, 1024))
+                stopping = asyncio.ensure_future(testbed.nodes[1].stop())
+                # Nothing is read until the port for callers has closed.
+                await asyncio.sleep(READ_AFTER_S)
+                while data := await loop.sock_recv(connection, 65536):
+                    received += len(data)
+            await stopping
+            self.assertGreater(received, size)
