Refuse requests that a stopping node cannot finish

Seen by callers: a request on a kept connection late in the grace period was passed on and cut at its end, or its connection was reset as it arrived, although the request could have run elsewhere.

Cause: only the port stopped accepting connections; open ones were closed if idle, and served otherwise until the end of the grace period.

Nested calls of requests that the local target still runs are accepted, with a deadline before the end of the process. Idle connections stay open until the end.

Result: the new test in test_planned_stop fails on the code before with a closed connection.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -77,6 +77,7 @@
     step_after_not_run,
 )
 from jacinthsail.internal.queries.queue_wait import latency_goal_s, max_queue_wait_s
+from jacinthsail.internal.queries.stopping import decide_entry_while_stopping
 from jacinthsail.internal.queries.target_choice import choose_target, failure_rate_elsewhere
 from jacinthsail.internal.queries.target_queue import load_report
 
@@ -130,6 +131,11 @@
         self.random = random
         self.loop = asyncio.get_running_loop()
         self.open_requests: set[OpenRequest] = set()
+        self.ends_at: float | None = None
+
+    def stop_accepting(self, ends_at: float) -> None:
+        """Refuse new requests from now on; nested calls are accepted until ``ends_at``."""
+        self.ends_at = ends_at
 
     def serve(self, request: HttpRequest, respond: ResponseCallback) -> RequestHandle | None:
         """Serve one request; ``respond`` is called once, unless the caller disconnects."""
@@ -148,8 +154,11 @@
         self, request: HttpRequest, request_info: RequestInfo, respond: ResponseCallback, now: float
     ) -> RequestHandle | None:
         decision = decide_entry(self.fleet, request_info, now)
+        parent = find_parent(self.lineage, request_info.parent_id)
+        if self.ends_at is not None:
+            is_nested = parent is not None
+            decision = decide_entry_while_stopping(decision, is_nested, self.ends_at, now)
         if isinstance(decision, RespondLocally):
-            parent = find_parent(self.lineage, request_info.parent_id)
             if parent is not None and decision.reason is Reason.NOT_READY:
                 # Requests that the target runs now fail at their first nested call.
                 self.local_target.block_admission()
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -281,11 +281,13 @@
         self.links.announce_draining()
         self.local_target.refuse_all_queued(Reason.DRAINING)
         await asyncio.sleep(max(0.0, closes_at - loop.time()))
+        self.router.stop_accepting(latest)
         # The local target may still make nested calls for the requests in progress.
         nested_calls_until = min(latest, loop.time() + NESTED_CALLS_DRAIN_S)
         await self._wait_while(self._is_target_at_work, nested_calls_until)
         self.callers_port.close_listener()
-        self.callers_port.close_idle()
+        # Idle connections stay open: a request that is on its way gets a refusal, which its caller
+        # may act on, and not a reset, which leaves open whether it was executed.
         await self._wait_while(self._has_work, latest)
         self.callers_port.close_all()
         exits_at = started + self.settings.grace_s - EXIT_MARGIN_S
--- a/tests/fast/test_planned_stop.py
+++ b/tests/fast/test_planned_stop.py
@@ -79,3 +79,40 @@
                     received += len(data)
             await stopping
             self.assertGreater(received, size)
+
+
+class LateRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_on_a_kept_connection_after_the_port_closed_is_refused(self):
+        """It was passed on and cut at the end of the grace period, or cut without an answer."""
+
+        async def is_closed():
+            try:
+                _, writer = await asyncio.open_connection(testbed.host(1), CALLERS_PORT)
+            except OSError:
+                return True
+            writer.close()
+            return False
+
+        def respond_late(target, request, respond):
+            delay_s = WORK_S if request.url.startswith(b"/lookup/") else 4.0
+            asyncio.get_running_loop().call_later(
+                delay_s, lambda: respond(target.response_to(request))
+            )
+
+        async with PlatformTestbed() as testbed:
+            await start_fleet(testbed, respond_late)
+            idle = await testbed.caller(1)
+            caller = await testbed.caller(1)
+            charge = asyncio.ensure_future(
+                caller.send_request("/charge/x", "r-1", method="POST", body=b"1")
+            )
+            await testbed.wait_until(lambda: testbed.targets[2].executions)
+            stopping = asyncio.ensure_future(testbed.nodes[1].stop())
+            while not await is_closed():
+                await asyncio.sleep(0.05)
+            late = await idle.send_request("/charge/x", "r-2", method="POST", body=b"1")
+            self.assertEqual(late.status, 503)
+            self.assertIn((b"connection", b"close"), late.headers)
+            self.assertEqual((await charge).status, 200)
+            await stopping
+            self.assertEqual(len(testbed.targets[2].executions), 1)
