Tell peers which requests a stopping node has not read

Seen by callers: a charge that crossed the end of a peer's planned stop got 502, although no target had received it.

Cause: a stopping node aborted its connections to peers. For a peer, every request in flight there may have been executed.

Change: the node replies to every request that it has read, then sends a last message, after which it reads nothing. The peer settles the remaining requests as not executed, sends them elsewhere, and closes the connection.

--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -92,6 +92,7 @@
         self.next_heartbeat = 0.0
         self.overdue_since: float | None = None
         self.keeps_open = False
+        self.ignores_input = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and initialize the timestamps."""
@@ -106,6 +107,8 @@
     def data_received(self, data: bytes) -> None:
         """Extract complete frames from the byte stream."""
         self.last_received = asyncio.get_running_loop().time()
+        if self.ignores_input:
+            return
         self.buffer += data
         while len(self.buffer) >= LENGTH_PREFIX.size and self.transport is not None:
             (length,) = LENGTH_PREFIX.unpack_from(self.buffer)
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -85,6 +85,9 @@
 # this time, and waiting longer would let new callers connect.
 NESTED_CALLS_DRAIN_S = 0.6
 
+# Peers close their connections to this node within a round trip, unless they are unreachable.
+PEERS_CLOSE_S = 0.2
+
 STOP_POLL_S = 0.05
 
 # The settings file may change without a signal; reading it takes less than 1 ms.
@@ -290,7 +293,10 @@
         # may act on, and not a reset, which leaves open whether it was executed.
         await self._wait_while(self._has_work, latest)
         self.callers_port.close_all()
+        self.links.finish_inbound()
         exits_at = started + self.settings.grace_s - EXIT_MARGIN_S
+        peers_until = min(exits_at, loop.time() + PEERS_CLOSE_S)
+        await self._wait_while(self.links.has_inbound_connections, peers_until)
         await self._wait_while(self.callers_port.has_unsent_responses, exits_at)
 
     async def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -119,5 +119,6 @@
       # The largest value stands for "no successful read yet".
       readAgeMs @35 :UInt32 = 0xffffffff;
     }
+    connectionClosing @36 :Void;
   }
 }
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -16,6 +16,7 @@
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.messages import (
     Cancel,
+    ConnectionClosing,
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
@@ -212,6 +213,12 @@
             request.settle(Unknown(Reason.CONNECTION_LOST, 0))
         self.links.sharing.link_lost(self.host)
 
+    def settle_unread(self) -> None:
+        """Settle the requests that the peer has not read, and will not, as not executed."""
+        pending, self.pending = self.pending, {}
+        for request in pending.values():
+            request.settle(NotRun(Reason.DRAINING, 0, RETRY_AFTER_UNREACHABLE_S))
+
     def check_silence(self, now: float) -> None:
         """Ping a silent peer with requests in flight; abort the connection if it stays silent."""
         if self.connection is None or not self.pending:
@@ -316,6 +323,26 @@
         """Return whether a peer waits for an outcome."""
         return any(self.inbound.values())
 
+    def finish_inbound(self) -> None:
+        """Reply to every request that was read, and let the peers close their connections.
+
+        Without the last message, a peer could not know whether a request that it sent at the end
+        was executed.
+        """
+        load = load_report(self.local_target.queue)
+        for connection, requests in self.inbound.items():
+            connection.ignores_input = True
+            for forward_id, request in list(requests.items()):
+                request.cancel()
+                outcome = Unknown(Reason.CONNECTION_LOST, 0)
+                connection.send(ForwardReplyMessage(forward_id, outcome, load))
+            requests.clear()
+            connection.send(ConnectionClosing())
+
+    def has_inbound_connections(self) -> bool:
+        """Return whether a peer has not closed its connection yet."""
+        return bool(self.inbound)
+
     def close(self) -> None:
         """Close every connection."""
         if self.timer is not None:
@@ -362,6 +389,12 @@
     _LOG.info("peer %s is draining; it gets no new requests", link.host)
 
 
+@_handle_reply.register
+def _(message: ConnectionClosing, link: PeerLink, connection: PeerConnection) -> None:
+    link.settle_unread()
+    connection.close()
+
+
 @_handle_reply.register
 def _(message: StoreReport, link: PeerLink, connection: PeerConnection) -> None:
     link.links.sharing.receive_report(link.host, message)
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -37,6 +37,7 @@
     CallReply,
     CallRequest,
     Cancel,
+    ConnectionClosing,
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
@@ -179,6 +180,11 @@
     builder.goodbye = None
 
 
+@_encode.register
+def _(message: ConnectionClosing, builder: Any) -> None:
+    builder.connectionClosing = None
+
+
 @_encode.register
 def _(message: ForwardRequestMessage, builder: Any) -> None:
     builder.forwardRequest = pack_request(message)
@@ -330,6 +336,10 @@
     return Goodbye()
 
 
+def _decode_connection_closing(_reader: Any) -> Message:
+    return ConnectionClosing()
+
+
 def _decode_forward_request(reader: Any) -> Message:
     return unpack_request(reader.forwardRequest)
 
@@ -413,6 +423,7 @@
     "callReply": _decode_call_reply,
     "cancel": _decode_cancel,
     "goodbye": _decode_goodbye,
+    "connectionClosing": _decode_connection_closing,
     "forwardRequest": _decode_forward_request,
     "forwardReply": _decode_forward_reply,
     "ping": _decode_ping,
--- a/src/jacinthsail/internal/model/messages.py
+++ b/src/jacinthsail/internal/model/messages.py
@@ -116,6 +116,13 @@
     """Ends the wish for changes of the published items."""
 
 
+class ConnectionClosing(NamedTuple):
+    """The last message of a node on a connection that a peer opened.
+
+    The node has replied to every request that it read there, and will read no further one.
+    """
+
+
 class StoreReport(NamedTuple):
     """Published items from a node that another one follows; the update may contain none.
 
@@ -138,6 +145,7 @@
     | CallReply
     | Cancel
     | Goodbye
+    | ConnectionClosing
     | ForwardRequestMessage
     | ForwardReplyMessage
     | Ping
--- a/tests/fast/test_planned_stop.py
+++ b/tests/fast/test_planned_stop.py
@@ -116,3 +116,47 @@
             self.assertEqual((await charge).status, 200)
             await stopping
             self.assertEqual(len(testbed.targets[2].executions), 1)
+
+
+class PeerOfStoppingNodeTest(unittest.IsolatedAsyncioTestCase):
+    async def start_paused(self, testbed):
+        """Start a charge that node 2 has not read when it stops; return the charge and the stop."""
+        await start_fleet(testbed)
+        caller = await testbed.caller(1)
+        await caller.send_request("/lookup/x", "r-0")
+        node = testbed.nodes[2]
+        for connection in node.links.inbound:
+            connection.transport.pause_reading()
+        charge = asyncio.ensure_future(
+            caller.send_request("/charge/x", "r-1", method="POST", body=b"1")
+        )
+        link = testbed.nodes[1].links.link_to(testbed.host(2))
+        await testbed.wait_until(lambda: link.pending)
+        node.settings = node.settings._replace(grace_s=1.0)
+        return charge, asyncio.ensure_future(node.stop())
+
+    async def test_request_that_the_node_did_not_read_is_known_not_to_have_run(self):
+        """The caller got 502 for a charge that no target had received."""
+        async with PlatformTestbed() as testbed:
+            charge, stopping = await self.start_paused(testbed)
+            self.assertEqual((await charge).status, 503)
+            await stopping
+            self.assertEqual(len(testbed.targets[2].executions), 1)
+
+    async def test_request_in_progress_at_the_end_is_not_reported_as_not_run(self):
+        """A charge that its target still executes would be sent to another target as well."""
+
+        def respond_late(target, request, respond):
+            asyncio.get_running_loop().call_later(3.0, lambda: respond(target.response_to(request)))
+
+        async with PlatformTestbed() as testbed:
+            await start_fleet(testbed, respond_late)
+            caller = await testbed.caller(1)
+            charge = asyncio.ensure_future(
+                caller.send_request("/charge/x", "r-1", method="POST", body=b"1")
+            )
+            await testbed.wait_until(lambda: testbed.targets[2].executions)
+            node = testbed.nodes[2]
+            node.settings = node.settings._replace(grace_s=1.0)
+            await node.stop()
+            self.assertEqual((await charge).status, 502)
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -16,6 +16,7 @@
     CallReply,
     CallRequest,
     Cancel,
+    ConnectionClosing,
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
@@ -81,6 +82,7 @@
     Pong(LOAD),
     FollowStore(2**63 - 1),
     UnfollowStore(),
+    ConnectionClosing(),
     StoreReport(
         StoreDelta((PublishedItem("k", 7, b"body"), PublishedItem("l", 8, None)), 6, 9), True, 1.5
     ),
