A long outage or an unexpected error no longer ends a node

Cause: read_delay_s() computed 2.0 ** (failures - 1), which overflows, outside of the handler in StoreFollower.follow. An exception of a task of the service tree ends the process.

Change: one function, backoff_s(), bounds the exponent for all four delays that double. The pause between two reads is inside the handler. The periodic checks of timeouts and of the settings file log an unexpected error and go on.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -125,6 +125,7 @@
         settings = self.settings
         incarnation = uuid4().hex
         self.is_draining = False
+        self.has_finished = False
         self.fleet = new_fleet(settings.location, settings.heartbeat_s)
         self.reading = new_read_state()
         self.copy = new_store_copy()
@@ -257,18 +258,29 @@
         """Reload settings that changed without a signal."""
         while not self.should_stop:
             await asyncio.sleep(SETTINGS_INTERVAL_S)
-            self.reload_settings()
+            try:
+                self.reload_settings()
+            except Exception:
+                # An exception of a task ends the process.
+                _LOG.exception("unexpected error while reading the settings again")
 
     @mode.Service.task
     async def sweep(self) -> None:
         """Close connections of idle or slow callers; remove targets not published again."""
         loop = asyncio.get_running_loop()
-        while not self.should_stop:
+        # A stopping node still serves, so its callers and its targets are watched until the end.
+        while not self.has_finished:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            remove_unconfirmed_targets(self.fleet, loop.time())
-            self.callers_port.sweep(loop.time())
-            self.readiness_port.sweep(loop.time())
-            self.metrics_port.sweep(loop.time())
+            try:
+                self._sweep_once(loop.time())
+            except Exception:
+                # An exception of a task ends the process.
+                _LOG.exception("unexpected error while sweeping connections and targets")
+
+    def _sweep_once(self, now: float) -> None:
+        remove_unconfirmed_targets(self.fleet, now)
+        for port in (self.callers_port, self.readiness_port, self.metrics_port):
+            port.sweep(now)
 
     async def on_stop(self) -> None:
         """Refuse new requests for the local target, finish those in progress, then close."""
@@ -297,6 +309,7 @@
         exits_at = started + self.settings.grace_s - EXIT_MARGIN_S
         peers_until = min(exits_at, loop.time() + PEERS_CLOSE_S)
         await self._wait_while(self.links.has_inbound_connections, peers_until)
+        self.has_finished = True
         await self._wait_while(self.callers_port.has_unsent_responses, exits_at)
 
     async def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -34,7 +34,11 @@
 from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.store_copy import contradicts_copy, is_newer, items_to_apply
-from jacinthsail.internal.queries.store_reading import next_read, read_delay_s
+from jacinthsail.internal.queries.store_reading import (
+    MAX_STORE_RETRY_DELAY_S,
+    next_read,
+    read_delay_s,
+)
 
 _LOG = logging.getLogger("jacinthsail.store")
 
@@ -88,9 +92,10 @@
         while not self.should_stop:
             if not self.reading["needs_snapshot"]:
                 await self.exchange.reads_store.wait()
-            await self._pause()
             known_revision = self.copy["revision"]
             try:
+                await self._pause()
+                known_revision = self.copy["revision"]
                 response = await self._read()
                 self._apply_response(response, known_revision, loop.time())
             except Exception:
@@ -99,6 +104,8 @@
                 record_response(
                     StoreUnavailable("unexpected error"), self.reading, self.fleet, loop.time()
                 )
+                # The pause itself may have failed.
+                await asyncio.sleep(MAX_STORE_RETRY_DELAY_S)
 
     async def _pause(self) -> None:
         """Wait before the next read, but not if other nodes come to rely on this one meanwhile."""
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -10,6 +10,7 @@
 )
 from jacinthsail.internal.model.manifest import Manifest
 from jacinthsail.internal.model.membership import Distance
+from jacinthsail.internal.queries.backoff import backoff_s
 
 # Assumed for a target that has not reported yet.
 INITIAL_LOAD = KindLoad(0.05, 0.0)
@@ -108,7 +109,7 @@
 
 def suspicion_s(failures: int) -> float:
     """Return how long a target is avoided after a number of consecutive failures."""
-    return min(MAX_SUSPICION_DURATION_S, FIRST_SUSPICION_S * 2.0 ** min(failures - 1, 8))
+    return backoff_s(FIRST_SUSPICION_S, MAX_SUSPICION_DURATION_S, failures)
 
 
 def targets_on_host(fleet: FleetState, host: str) -> tuple[str, ...]:
--- a/src/jacinthsail/internal/queries/replication.py
+++ b/src/jacinthsail/internal/queries/replication.py
@@ -31,6 +31,7 @@
 from jacinthsail.internal.model.settings import Mechanism
 from jacinthsail.internal.model.state import NodeState
 from jacinthsail.internal.queries.admission import advertised_threshold
+from jacinthsail.internal.queries.backoff import backoff_s
 from jacinthsail.internal.queries.documents import parse_section
 from jacinthsail.internal.queries.membership import is_watcher
 from jacinthsail.internal.queries.vm_lists import parse_vm_list
@@ -351,7 +352,7 @@
 
 def retry_delay(failures: int, random: Random) -> float:
     """Return the exponential backoff after a failed attempt, with jitter."""
-    longest = min(MAX_RETRY_DELAY_S, INITIAL_RETRY_DELAY_S * 2.0 ** min(failures, 10))
+    longest = backoff_s(INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S, failures + 1)
     return random.uniform(0.5 * longest, longest)
 
 
--- a/src/jacinthsail/internal/queries/retries.py
+++ b/src/jacinthsail/internal/queries/retries.py
@@ -8,6 +8,7 @@
 from jacinthsail.internal.model.retries import Attempt, RetryAllowance, RetryBudget, RetryState
 from jacinthsail.internal.model.routing import RetryDecision
 from jacinthsail.internal.model.settings import Mechanism
+from jacinthsail.internal.queries.backoff import backoff_s
 
 # Keeps retries a small share of the traffic while a service is slow.
 TOKENS_PER_SUCCESS = 0.1
@@ -76,7 +77,7 @@
 ) -> RetryDecision:
     if reason in FINAL_REASONS:
         return _give_up(reason)
-    delay_s = backoff_s(attempt.number, random)
+    delay_s = retry_delay_s(attempt.number, random)
     if now + delay_s >= attempt.context.deadline:
         return _give_up(Reason.DEADLINE_EXPIRED)
     if not has_retry_budget(retries, attempt.context, now):
@@ -88,9 +89,9 @@
     return RetryDecision(should_retry=False, delay_s=0.0, reason=reason)
 
 
-def backoff_s(number: int, random: Random) -> float:
+def retry_delay_s(number: int, random: Random) -> float:
     """Return the delay with jitter after a failed attempt; attempts are numbered from 1."""
-    longest_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2.0 ** (number - 1))
+    longest_s = backoff_s(INITIAL_BACKOFF_S, MAX_BACKOFF_S, number)
     return random.uniform(longest_s / 2, longest_s)
 
 
--- a/src/jacinthsail/internal/queries/store_reading.py
+++ b/src/jacinthsail/internal/queries/store_reading.py
@@ -10,6 +10,7 @@
     StoreReadState,
 )
 from jacinthsail.internal.model.store_sources import StoreRole
+from jacinthsail.internal.queries.backoff import backoff_s
 
 # Entries change with every heartbeat of a target, so a watch that is renewed at once would return
 # many times a second. A longer pause would delay changes, which must be in force within 2 s.
@@ -64,9 +65,7 @@
     if reading["failures"] and role is StoreRole.FALLBACK and not reading["needs_snapshot"]:
         return random.uniform(MAX_FALLBACK_RETRY_DELAY_S / 2, MAX_FALLBACK_RETRY_DELAY_S)
     if reading["failures"]:
-        longest_s = min(
-            MAX_STORE_RETRY_DELAY_S, INITIAL_RETRY_DELAY_S * 2.0 ** (reading["failures"] - 1)
-        )
+        longest_s = backoff_s(INITIAL_RETRY_DELAY_S, MAX_STORE_RETRY_DELAY_S, reading["failures"])
         return random.uniform(longest_s / 2, longest_s)
     if reading["needs_snapshot"]:
         return 0.0
--- a/tests/fast/test_retries.py
+++ b/tests/fast/test_retries.py
@@ -27,10 +27,10 @@
     MIN_TOKENS,
     MIN_TOKENS_PER_S,
     TOKENS_PER_SUCCESS,
-    backoff_s,
     decide_retry,
     refilled_budget,
     remaining_retries,
+    retry_delay_s,
 )
 from tests.common.call_factories import call_context
 
@@ -147,16 +147,16 @@
     @given(attempt=st.integers(1, 100), seed=st.integers(0, 2**32))
     def test_backoff_grows_within_bounds_and_is_reproducible_by_seed(self, attempt, seed):
         """Synchronized retries would overload the target in waves."""
-        delay_s = backoff_s(attempt, Random(seed))
+        delay_s = retry_delay_s(attempt, Random(seed))
         longest_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (attempt - 1))
         self.assertLessEqual(longest_s / 2, delay_s)
         self.assertLessEqual(delay_s, longest_s)
-        self.assertEqual(delay_s, backoff_s(attempt, Random(seed)))
+        self.assertEqual(delay_s, retry_delay_s(attempt, Random(seed)))
 
     def test_backoff_is_jittered(self):
         """Without jitter, calls that were refused together would be retried together."""
         random = Random(1)
-        self.assertEqual(len({backoff_s(3, random) for _ in range(50)}), 50)
+        self.assertEqual(len({retry_delay_s(3, random) for _ in range(50)}), 50)
 
 
 STEPS = st.lists(
--- a/tests/fast/test_store_reading.py
+++ b/tests/fast/test_store_reading.py
@@ -26,6 +26,7 @@
 from jacinthsail.internal.queries.fleet_view import new_fleet, removals_confirmed_at
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_reading import (
+    MAX_FALLBACK_RETRY_DELAY_S,
     MAX_WATCH_WAIT_S,
     WATCH_PAUSE_S,
     is_read_current,
@@ -81,6 +82,14 @@
             longest_s = max(longest_s, read_delay_s(self.reading, StoreRole.READER, Random(1), 1.0))
         self.assertLess(longest_s + MAX_WATCH_WAIT_S, APPLY_WITHIN_S)
 
+    def test_long_outage_does_not_end_the_process(self):
+        """After 1,025 failed reads the delay overflowed, and all nodes ended at about that time."""
+        self.reading["failures"] = 100_000
+        for role in StoreRole:
+            with self.subTest(role=role):
+                delay_s = read_delay_s(self.reading, role, Random(1), 1.0)
+                self.assertLessEqual(delay_s, MAX_FALLBACK_RETRY_DELAY_S)
+
     def test_node_that_becomes_a_reader_reads_at_once(self):
         """Its followers, whose readers were lost, would wait for the pause between two reads."""
         for now, expected_s in ((0.1, WATCH_PAUSE_S - 0.1), (WATCH_PAUSE_S + 0.1, 0.0)):
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from jacinthsail.internal.adapters import store_follower
 from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.testing.platform_stand_ins import TargetStandIn
 from tests.common.platform_testbed import PlatformTestbed, manifest
@@ -147,6 +149,34 @@
                 for node in testbed.nodes.values():
                     await testbed.wait_until(lambda node=node: "i-1" not in node.fleet["targets"])
 
+    async def test_unexpected_error_of_a_periodic_task_does_not_end_the_node(self):
+        """The exception of one check of timeouts or settings would end the process."""
+        async with PlatformTestbed() as testbed:
+            node = await testbed.add_node(1)
+            await testbed.wait_until(node.is_ready)
+
+            def fail(*_arguments):
+                raise RuntimeError("unexpected")
+
+            node.callers_port.sweep = fail
+            node.read_settings = fail
+            with self.assertLogs("jacinthsail.node", "ERROR") as logged:
+                await testbed.wait_until(
+                    lambda: len({line.partition("\n")[0] for line in logged.output}) > 1
+                )
+            self.assertFalse(node.should_stop)
+
+    async def test_unexpected_error_of_the_pause_does_not_end_the_node(self):
+        """An exception between two reads of the store would end the process."""
+        async with PlatformTestbed() as testbed:
+            node = await testbed.add_node(1)
+            await testbed.wait_until(node.is_ready)
+            failing = mock.patch.object(store_follower, "read_delay_s", side_effect=RuntimeError)
+            with failing, self.assertLogs("jacinthsail.store", "ERROR"):
+                await asyncio.sleep(1.5)
+            testbed.store.put("op/config", manifest(2))
+            await self.wait_for_version(testbed, 2)
+
     async def test_removed_target_leaves_every_node(self):
         """A node that follows others would send requests to a target that has left."""
         async with PlatformTestbed() as testbed:
