Check moved routes and the nodes of each request in the soak

Cause: a stop of any node excused every late request to a target that had left, and since nodes stop all the time, none was ever reported. Changes of the manifest changed no service.

Change: only the node that took the request, the one beside the target and the store count. Each manifest moves one route to another service, and executions by the former service are reported.

--- a/src/jacinthsail/testing/soak_checks.py
+++ b/src/jacinthsail/testing/soak_checks.py
@@ -16,6 +16,7 @@
 GRACE_S = 6.0
 CONTACT_S = 3.0
 DRAIN_S = 2.0
+CONFIG_APPLY_S = 2.0
 LOSS_SLACK_S = 0.2
 
 # Requests sent later than this after the signal must be answered before the process ends.
@@ -35,8 +36,7 @@
         executions = by_request.get(attempt.request_id, [])
         found += response_violations(attempt, executions)
         found += loss_violations(attempt, executions, record["disturbances"])
-    found += drain_violations(record)
-    return found
+    return found + drain_violations(record) + config_violations(record)
 
 
 def response_violations(attempt: Attempt, executions: list[Execution]) -> list[Violation]:
@@ -102,18 +102,59 @@
         attempt = sent.get(execution.request_id)
         if execution.started_at <= latest or attempt is None:
             continue
-        # Stopped nodes do not count as undisturbed, nor does any node after a fault.
-        if any(
-            (not each.is_planned or each.name == "stop")
-            and execution.started_at - GRACE_S - CONTACT_S <= each.at <= execution.started_at
-            for each in record["disturbances"]
-        ):
+        if is_disturbed(record, attempt, execution, latest - DRAIN_S):
             continue
         late_s = execution.started_at - latest
-        found.append(Violation("DRAIN", execution.request_id, f"{late_s:.2f} s too late"))
+        text = f"{late_s:.2f} s too late: {describe(attempt)}"
+        found.append(Violation("DRAIN", execution.request_id, text))
+    return found
+
+
+def config_violations(record: SoakRecord) -> list[Violation]:
+    """Return the executions by a service from which the route had been moved."""
+    sent = {attempt.request_id: attempt for attempt in record["attempts"] if attempt.is_moved}
+    found = []
+    for execution in record["executions"]:
+        attempt = sent.get(execution.request_id)
+        if attempt is None:
+            continue
+        oldest = attempt.sent_at - CONFIG_APPLY_S
+        # The last version before that time is in force everywhere, and later ones may be.
+        moves = [move for move in record["moves"] if move.at <= execution.started_at]
+        first = max(index for index, move in enumerate(moves) if index == 0 or move.at <= oldest)
+        if execution.service in {move.service for move in moves[first:]}:
+            continue
+        if is_disturbed(record, attempt, execution, moves[first].at):
+            continue
+        late_s = attempt.sent_at - moves[first].at
+        text = f"sent {late_s:.2f} s after the change: {describe(attempt)}"
+        found.append(Violation("CONFIG", execution.request_id, text))
     return found
 
 
+def is_disturbed(
+    record: SoakRecord, attempt: Attempt, execution: Execution, acknowledged_at: float
+) -> bool:
+    """Return whether one of the nodes of a request, or the store, was disturbed.
+
+    The store counts from before it acknowledged the change that the request should have followed.
+    """
+    at = execution.started_at
+    for each in record["disturbances"]:
+        if each.at > at:
+            continue
+        if each.node == 0:
+            if each.at > acknowledged_at - CONTACT_S:
+                return True
+            continue
+        if each.node not in (attempt.node, execution.node):
+            continue
+        lasts_s = GRACE_S if each.name == "stop" else 0.0
+        if each.at > at - CONTACT_S - lasts_s:
+            return True
+    return False
+
+
 def describe(attempt: Attempt) -> str:
     """Return the facts of an attempt for a report."""
     kind = "lookup" if attempt.is_repeatable else "filing"
--- a/src/jacinthsail/testing/soak_clients.py
+++ b/src/jacinthsail/testing/soak_clients.py
@@ -92,6 +92,7 @@
 
     request_id: str
     is_repeatable: bool
+    is_moved: bool
     limit_ms: int
     sent_at: float
     is_behind: bool
@@ -128,12 +129,14 @@
     """Return a request with a new id."""
     request_id = f"{context.random.getrandbits(64):016x}"
     now = asyncio.get_running_loop().time()
-    return SentRequest(request_id, is_repeatable, limit_ms, now, False)
+    return SentRequest(request_id, is_repeatable, False, limit_ms, now, False)
 
 
 def request_head(request: SentRequest, work_ms: int, calls: int, framing: str) -> bytes:
     """Return the head of a request; its path says how long it takes and how many calls it makes."""
     method, name = ("GET", "lookup") if request.is_repeatable else ("POST", "filing")
+    if request.is_moved:
+        name = "moved"
     return (
         f"{method} /{name}/{work_ms}/{calls}/ HTTP/1.1\r\nHost: {HOST_HEADER}\r\n"
         f"X-Attempt-Id: {request.request_id}\r\nX-Deadline-Ms: {request.limit_ms}\r\n{framing}\r\n"
@@ -170,6 +173,7 @@
             request_id=request.request_id,
             node=node,
             is_repeatable=request.is_repeatable,
+            is_moved=request.is_moved,
             sent_at=request.sent_at,
             ended_at=asyncio.get_running_loop().time(),
             limit_s=request.limit_ms / 1000,
@@ -209,6 +213,8 @@
     is_repeatable = random.random() < 0.5
     limit_ms = LOOKUP_LIMIT_MS if is_repeatable else FILING_LIMIT_MS
     request = new_request(context, is_repeatable, limit_ms)
+    if not is_repeatable:
+        request = request._replace(is_moved=random.random() < 0.5)
     body = b"" if is_repeatable else b"filed"
     framing = f"Content-Length: {len(body)}\r\n"
     work_ms = random.choice((10, 30, 80, 300, 900))
--- a/src/jacinthsail/testing/soak_fleet.py
+++ b/src/jacinthsail/testing/soak_fleet.py
@@ -35,6 +35,7 @@
     Execution,
     FreezeNode,
     KillNode,
+    MovedRoute,
     PublishManifest,
     ReloadNode,
     ReplaceTarget,
@@ -106,7 +107,14 @@
         self.request_id = header_of(request, b"x-attempt-id")
         self.position = len(target.fleet.record["executions"])
         target.fleet.record["executions"].append(
-            Execution(self.request_id, target.incarnation, target.fleet.now(), STILL_RUNNING)
+            Execution(
+                self.request_id,
+                target.node,
+                target.fleet.service(target.node),
+                target.incarnation,
+                target.fleet.now(),
+                STILL_RUNNING,
+            )
         )
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -257,12 +265,13 @@
         return sealed_id == request_id and body == response_body(incarnation, request_id)
 
     def publish_manifest(self) -> None:
-        """Publish the next version of the manifest; its time limits alternate."""
+        """Publish the next version of the manifest, which moves one route to another service."""
         self.version += 2
-        timeout = "5000ms" if self.version % 4 == 1 else "5500ms"
+        moved_to = SERVICES[self.version // 2 % len(SERVICES)]
         routes = []
         for name, service, kind in (
             ("filing", "filings", "non_idempotent"),
+            ("moved", moved_to, "non_idempotent"),
             ("lookup", "drafts", "idempotent"),
         ):
             routes.append(
@@ -271,7 +280,7 @@
                     "hostname": HOST_HEADER,
                     "prefix": f"/{name}/",
                     "routeType": kind,
-                    "timeout": timeout,
+                    "timeout": "5000ms",
                     "targetLatency": "1500ms",
                     "priority": 1,
                     "service": service,
@@ -296,6 +305,7 @@
                 "limits": limits,
             },
         )
+        self.record["moves"].append(MovedRoute(moved_to, self.now()))
 
     async def start(self) -> None:
         """Start the store, the targets and the nodes, and wait until all nodes are ready."""
@@ -324,6 +334,7 @@
 
     async def start_node(self, node: int) -> None:
         """Start the process of a node."""
+        self.disturb(node, "start", is_planned=True)
         settings = self.folder / f"node-{node}.toml"
         settings.write_text(self._settings(node), encoding="utf-8")
         with open(self.folder / f"node-{node}.log", "ab") as log:
--- a/src/jacinthsail/testing/soak_model.py
+++ b/src/jacinthsail/testing/soak_model.py
@@ -20,13 +20,15 @@
 class Attempt(NamedTuple):
     """One attempt of a client; ``sent_at`` is when its last byte was written.
 
-    ``is_behind`` is set if it was sent behind an unanswered one on the same connection, and
-    ``is_whole`` if its response carries the seal and the body that belong to it.
+    ``is_moved`` is set for the route that each manifest moves to another service, and ``is_behind``
+    if the request was sent behind an unanswered one on the same connection. ``is_whole`` is set if
+    the response carries the seal and the body that belong to the request.
     """
 
     request_id: str
     node: int
     is_repeatable: bool
+    is_moved: bool
     sent_at: float
     ended_at: float
     limit_s: float
@@ -38,9 +40,11 @@
 
 
 class Execution(NamedTuple):
-    """One execution of a request by a target."""
+    """One execution of a request by the target on the VM of a node."""
 
     request_id: str
+    node: int
+    service: str
     incarnation: str
     started_at: float
     ended_at: float
@@ -53,8 +57,18 @@
     at: float
 
 
+class MovedRoute(NamedTuple):
+    """The service of the route that each manifest moves, and when the store acknowledged it."""
+
+    service: str
+    at: float
+
+
 class Disturbance(NamedTuple):
-    """Something that happened to a node; ``is_planned`` distinguishes stops from faults."""
+    """Something that happened to a node, or to the store if ``node`` is 0.
+
+    ``is_planned`` distinguishes planned work from faults.
+    """
 
     node: int
     name: str
@@ -68,6 +82,7 @@
     attempts: list[Attempt]
     executions: list[Execution]
     departures: list[Departure]
+    moves: list[MovedRoute]
     disturbances: list[Disturbance]
     unexpected_exits: list[str]
 
@@ -174,5 +189,10 @@
 def new_record() -> SoakRecord:
     """Return the empty record of a run."""
     return SoakRecord(
-        attempts=[], executions=[], departures=[], disturbances=[], unexpected_exits=[]
+        attempts=[],
+        executions=[],
+        departures=[],
+        moves=[],
+        disturbances=[],
+        unexpected_exits=[],
     )
--- a/tests/fast/test_soak_checks.py
+++ b/tests/fast/test_soak_checks.py
@@ -10,6 +10,7 @@
     Disturbance,
     Ending,
     Execution,
+    MovedRoute,
     StopNode,
     new_record,
 )
@@ -17,8 +18,8 @@
 
 STOP_AT = 100.0
 
-ANSWERED = Attempt("r", 1, False, 101.0, 101.5, 5.0, Ending.ANSWERED, 200, True, True, False)
-EXECUTION = Execution("r", "i-1", 101.0, 101.5)
+ANSWERED = Attempt("r", 1, False, False, 101.0, 101.5, 5.0, Ending.ANSWERED, 200, True, True, False)
+EXECUTION = Execution("r", 3, "filings", "i-1", 101.0, 101.5)
 
 
 class SoakChecksTest(unittest.TestCase):
@@ -79,6 +80,23 @@
         self.record["departures"] = [Departure("i-1", 99.5)]
         self.assertEqual(self.rules(ANSWERED, EXECUTION), [])
 
+    def test_disturbance_of_another_node_excuses_nothing(self):
+        """While nodes stop all the time, no late request would ever be reported."""
+        self.record["departures"] = [Departure("i-1", 98.0)]
+        for node, rules in ((2, ["DRAIN"]), (1, []), (3, []), (0, [])):
+            with self.subTest(node=node):
+                self.record["disturbances"] = [Disturbance(node, "freeze", 99.0, False)]
+                self.assertEqual(self.rules(ANSWERED, EXECUTION), rules)
+
+    def test_execution_by_a_service_from_which_the_route_was_moved(self):
+        self.record["disturbances"].clear()
+        moved = ANSWERED._replace(is_moved=True)
+        self.record["moves"] = [MovedRoute("filings", 10.0), MovedRoute("drafts", 98.0)]
+        self.assertEqual(self.rules(moved, EXECUTION), ["CONFIG"])
+        self.assertEqual(self.rules(moved, EXECUTION._replace(service="drafts")), [])
+        self.record["moves"][1] = MovedRoute("drafts", 99.5)
+        self.assertEqual(self.rules(moved, EXECUTION), [])
+
     def test_process_that_ended_by_itself(self):
         self.record["unexpected_exits"].append("node 1 ended with status 1")
         self.assertEqual(self.rules(ANSWERED, EXECUTION), ["EXIT"])
