Ignore late copies of a refusal after another request

Seen by callers of similar systems: a faulty target writes an earlier refusal once more on a kept connection, and a charge that it is executing counts as not run.

Cause: a request was kept off the connection on which it had just been sent, but not once that connection had carried another request. A second copy of the refusal, which echoes the id of the request, then counted as the response to its next attempt, and the request was sent once more while it ran.

Change: each connection keeps the ids of the requests that were refused or failed on it, and carries none of them again. After 256 of them it is closed.

--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -23,6 +23,9 @@
 MAX_HEADERS = 256
 MAX_SKIPPED_RESPONSES = 8
 
+# A connection with more failed requests is not used again, which bounds the ids that it keeps.
+MAX_FAILED_IDS = 256
+
 # The kernel closes the connection when sent data stays unacknowledged for this long, so that a peer
 # that has lost power does not hold the connection.
 USER_TIMEOUT_MS = 3000
@@ -91,7 +94,7 @@
         self.must_close = False
         self.idle_timeout_s: float | None = None
         self.idle_since = 0.0
-        self.last_request_id = ""
+        self.failed_ids: set[str] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and limit how long sent data may stay unacknowledged."""
@@ -113,10 +116,8 @@
         on_result: Callable[[ExchangeResult], None],
         matches: ResponsePredicate | None = None,
         is_head: bool = False,
-        request_id: str = "",
     ) -> None:
         """Send one request; the callback is called once with its result."""
-        self.last_request_id = request_id
         if self.transport is None or self.transport.is_closing():
             on_result(BrokenExchange("the connection was closed before the request", False))
             return
@@ -127,6 +128,16 @@
         self.is_head = is_head
         self.transport.write(request)
 
+    def record_failure(self, request_id: str) -> None:
+        """Record that a request was refused or failed here, so that it may be sent once more.
+
+        The peer may write its response a second time, at any later moment. The id of that response
+        would match if the same request were sent on this connection again.
+        """
+        self.failed_ids.add(request_id)
+        if len(self.failed_ids) > MAX_FAILED_IDS:
+            self.must_close = True
+
     def abort(self) -> None:
         """Close the connection immediately; a pending request gets no result."""
         self.on_result = None
--- a/src/jacinthsail/internal/adapters/local_target.py
+++ b/src/jacinthsail/internal/adapters/local_target.py
@@ -324,8 +324,8 @@
     ) -> HttpClientConnection | None:
         """Return the most recently used idle connection that may carry the request, or None.
 
-        A second response to the last request on a connection may still arrive there, and its id
-        would match if that request were retried on the same connection.
+        A connection on which the request was refused or failed before is left out, because a second
+        copy of that response may still arrive there.
         """
         for index in range(len(self.idle) - 1, -1, -1):
             connection = self.idle[index]
@@ -336,7 +336,7 @@
                 continue
             if not forwarded.repeatable and idle_s > MAX_IDLE_NON_REPEATABLE_S:
                 return None
-            if connection.last_request_id == forwarded.request_id:
+            if forwarded.request_id in connection.failed_ids:
                 continue
             del self.idle[index]
             return connection
@@ -370,7 +370,6 @@
             lambda result: self._on_result(request, result),
             lambda response: self.dialect.is_response_to(response, forwarded),
             forwarded.method == "HEAD",
-            forwarded.request_id,
         )
 
     def _on_result(self, request: LocalRequest, result: ExchangeResult) -> None:
@@ -381,6 +380,8 @@
                 self._end(request, NotRun(Reason.TARGET_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
             return
         outcome = self.dialect.decode(result)
+        if request.connection is not None and may_be_sent_again(outcome):
+            request.connection.record_failure(request.forwarded.request_id)
         if isinstance(outcome, NotRun) and self._schedule_retry(request, outcome):
             return
         if isinstance(outcome, ForwardedResponse):
@@ -504,6 +505,11 @@
         _LOG.exception("unhandled exception while reporting the outcome of request %s", request_id)
 
 
+def may_be_sent_again(outcome: ForwardedOutcome) -> bool:
+    """Return whether this node or another one may send the request to the target once more."""
+    return not isinstance(outcome, ForwardedResponse) or outcome.status >= STATUS_SERVER_ERROR
+
+
 def idle_limit_s(connection: HttpClientConnection) -> float:
     """Return how long a connection may stay idle before the target might close it."""
     stated_s = connection.idle_timeout_s
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -146,6 +146,52 @@
             response = await caller.send_request("/charge/x", "r-1", method="POST", body=b"1")
             self.assertEqual((response.status, response.body), (200, b"i-2 ran r-1"))
 
+    async def test_late_copy_of_a_refusal_is_not_accepted_after_another_request(self):
+        """The target was executing the charge when the node sent it once more.
+
+        The connection on which the charge was refused carries another request before the charge is
+        sent again.
+        """
+        transports = []
+
+        def refuse_first(target, request, respond):
+            name = header_of(request, b"x-attempt-id")
+            not_run = HttpResponse(503, request_id_header(request) + b"X-Not-Executed: 1\r\n", b"")
+            attempts = [header_of(one, b"x-attempt-id") for one in target.executions].count(name)
+            if name != "r-1":
+                respond(target.response_to(request))
+                return
+            if attempts == 1:
+                transports.extend(one.transport for one in target.port.connections)
+                respond(not_run)
+                return
+            # The copy arrives on the first connection while the charge is being executed.
+            transports[0].write(encode_response(not_run, False, False))
+            respond_after(0.2)(target, request, respond)
+
+        async with PlatformTestbed() as testbed:
+            caller = await self.fleet(testbed, refuse_first)
+            local = testbed.nodes[2].local_target
+            schedule = local.loop.call_later
+
+            def delay_retry(delay_s, callback, *arguments):
+                is_retry = getattr(callback, "__name__", "") == "_attempt"
+                return schedule(0.3 if is_retry else delay_s, callback, *arguments)
+
+            local.loop.call_later = delay_retry
+            self.addCleanup(setattr, local.loop, "call_later", schedule)
+            charge = asyncio.ensure_future(
+                caller.send_request("/charge/x", "r-1", method="POST", body=b"1")
+            )
+            await testbed.wait_until(lambda: testbed.targets[2].executions)
+            await asyncio.sleep(0.1)
+            other = await testbed.caller(1)
+            self.assertEqual((await other.send_request("/lookup/x", "r-2")).status, 200)
+            response = await charge
+            self.assertEqual((response.status, response.body), (200, b"i-2 ran r-1"))
+            # The refused attempt, the lookup, and one execution of the charge.
+            self.assertEqual(len(testbed.targets[2].executions), 3)
+
     async def test_response_without_the_id_of_the_request_is_discarded(self):
         """A caller would get a duplicate response to the request of another caller."""
         async with PlatformTestbed() as testbed:
