Ignore late writes of a target that is leaving

Seen from the code by the review, and a possible cause of requests to a back end that had said it was leaving: a target's write that reaches the store late says "ready" after its "draining", or after its entry was removed.

Cause: the entry with the highest revision was in force, whatever its sequence.

Change: each node keeps the start time and the sequence of the last entry of each target, also of up to 1,000 removed ones, and ignores an entry of the same start with a lower sequence. Without a start time nothing is ignored, since a target that starts again under its name counts anew. An entry without a sequence names no target. A line in the log says which write was ignored.

Not reproduced with real processes.

--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -29,10 +29,11 @@
     StoreSnapshot,
     StoreUnavailable,
     StoreUpdate,
+    TargetPublished,
     UndecodableItem,
 )
 from jacinthsail.internal.model.store_sources import StoreRole
-from jacinthsail.internal.queries.fleet_view import manifest_version
+from jacinthsail.internal.queries.fleet_view import is_outdated, manifest_version
 from jacinthsail.internal.queries.store_copy import contradicts_copy, is_newer, items_to_apply
 from jacinthsail.internal.queries.store_reading import (
     MAX_STORE_RETRY_DELAY_S,
@@ -150,6 +151,7 @@
         version = manifest_version(self.fleet)
         items = items_to_apply(update, self.copy)
         changes = [self.client.decode(item) for item in items]
+        self._log_outdated(changes)
         record_items(self.copy, items)
         record_copied(update, self.copy)
         apply_changes(changes, self.fleet, asyncio.get_running_loop().time())
@@ -158,6 +160,17 @@
         self.on_change()
         self.exchange.report(_update_for_followers(update, items, before))
 
+    def _log_outdated(self, changes: list[StoreChange]) -> None:
+        for change in changes:
+            if not isinstance(change, TargetPublished):
+                continue
+            if is_outdated(self.fleet, change.entry.incarnation, change.version):
+                _LOG.warning(
+                    "ignoring a late write of target %s: sequence %d",
+                    change.entry.incarnation,
+                    change.version.sequence,
+                )
+
     def _log_changes(self, changes: list[StoreChange], version: int, source: str) -> None:
         if manifest_version(self.fleet) != version:
             _LOG.info(
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from jacinthsail.internal.model.fleet import (
+    EntryVersion,
     FleetState,
     LoadReport,
     TargetAtDistance,
@@ -17,6 +18,7 @@
     failure_rate_after,
     is_outage,
     new_target_view,
+    surplus_entry_versions,
     suspicion_s,
 )
 from jacinthsail.internal.queries.manifest_routes import index_routes
@@ -34,6 +36,15 @@
         fleet["split_positions"][route.name] = fleet["split_positions"].get(route.name, 0) + 1
 
 
+def record_entry_version(fleet: FleetState, incarnation: str, version: EntryVersion) -> None:
+    """Record the version of the entry that a target has published."""
+    # The order is that of the last changes, so that the oldest versions are dropped first.
+    fleet["entry_versions"].pop(incarnation, None)
+    fleet["entry_versions"][incarnation] = version
+    for name in surplus_entry_versions(fleet):
+        del fleet["entry_versions"][name]
+
+
 def put_target(fleet: FleetState, entry: TargetEntry) -> None:
     """Add or replace the entry of a target."""
     known = fleet["targets"].get(entry.incarnation)
--- a/src/jacinthsail/internal/commands/store_reading.py
+++ b/src/jacinthsail/internal/commands/store_reading.py
@@ -6,6 +6,7 @@
 from jacinthsail.internal.commands.fleet import (
     install_manifest,
     put_target,
+    record_entry_version,
     record_store_served,
     record_unconfirmed_removal,
     remove_target,
@@ -26,6 +27,7 @@
 from jacinthsail.internal.queries.fleet_view import (
     expired_unconfirmed_removals,
     is_newer_manifest,
+    is_outdated,
     removals_confirmed_at,
 )
 
@@ -87,6 +89,9 @@
 
 @apply_change.register
 def _(change: TargetPublished, fleet: FleetState, now: float) -> None:
+    if is_outdated(fleet, change.entry.incarnation, change.version):
+        return
+    record_entry_version(fleet, change.entry.incarnation, change.version)
     put_target(fleet, change.entry)
 
 
--- a/src/jacinthsail/internal/model/fleet.py
+++ b/src/jacinthsail/internal/model/fleet.py
@@ -24,6 +24,16 @@
     warm_up_s: float
 
 
+class EntryVersion(NamedTuple):
+    """When the target that wrote an entry started, by its own clock, and how often it had written.
+
+    ``started_at_ms`` is None if the target does not publish it.
+    """
+
+    started_at_ms: int | None
+    sequence: int
+
+
 class TargetAtDistance(NamedTuple):
     """A target and its distance from this node."""
 
@@ -97,7 +107,8 @@
     """The published manifest and targets, and this node's observations of each target.
 
     ``location`` is this node's location, from which the distances of the targets follow.
-    ``split_positions`` counts the requests of each route that is split between services.
+    ``entry_versions`` holds the newest version of the entry of each target, and of some that were
+    removed. ``split_positions`` counts the requests of each route that is split between services.
     ``store_served_at`` is when the store last served a read of this node or of one that it follows,
     and ``store_recovered_at`` when it did so again after an outage of at least ``min_outage_s``.
     """
@@ -107,6 +118,7 @@
     routes: RouteIndex
     split_positions: dict[str, int]
     targets: dict[str, TargetEntry]
+    entry_versions: dict[str, EntryVersion]
     by_service: dict[str, dict[Distance, tuple[TargetAtDistance, ...]]]
     unconfirmed_removals: dict[str, UnconfirmedRemoval]
     min_outage_s: float
--- a/src/jacinthsail/internal/model/store.py
+++ b/src/jacinthsail/internal/model/store.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, TypedDict
 
-from jacinthsail.internal.model.fleet import TargetEntry
+from jacinthsail.internal.model.fleet import EntryVersion, TargetEntry
 from jacinthsail.internal.model.manifest import Manifest
 
 
@@ -16,6 +16,7 @@
     """A target published its entry."""
 
     entry: TargetEntry
+    version: EntryVersion
 
 
 class TargetRemoved(NamedTuple):
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -1,6 +1,7 @@
 """A node's view of the targets: distance, failure rate, suspicion and unconfirmed removals."""
 
 from jacinthsail.internal.model.fleet import (
+    EntryVersion,
     FleetState,
     KindLoad,
     LoadReport,
@@ -45,6 +46,9 @@
 
 DEFAULT_HEARTBEAT_S = 1.5
 
+# Removed targets whose last version is kept, so that a late write does not bring them back.
+MAX_REMOVED_VERSIONS = 1_000
+
 
 def new_fleet(location: NodeLocation, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> FleetState:
     """Return the fleet state of a node that has read nothing from the store yet.
@@ -57,6 +61,7 @@
         routes={},
         split_positions={},
         targets={},
+        entry_versions={},
         by_service={},
         unconfirmed_removals={},
         min_outage_s=MIN_OUTAGE_HEARTBEATS * heartbeat_s,
@@ -157,6 +162,30 @@
     return fleet["store_recovered_at"] + STORE_RECOVERY_PERIOD_S
 
 
+def is_outdated(fleet: FleetState, incarnation: str, version: EntryVersion) -> bool:
+    """Return whether an entry was written before one that is known already.
+
+    A write of a target may reach the store late, after one that says that the target is leaving. A
+    target that starts again under the same name counts anew, which only the time of its start
+    distinguishes from a late write.
+    """
+    known = fleet["entry_versions"].get(incarnation)
+    if known is None or version.started_at_ms is None:
+        return False
+    if known.started_at_ms != version.started_at_ms:
+        return False
+    return version.sequence < known.sequence
+
+
+def surplus_entry_versions(fleet: FleetState) -> tuple[str, ...]:
+    """Return the targets whose entries were removed long ago, if too many are kept."""
+    surplus = len(fleet["entry_versions"]) - len(fleet["targets"]) - MAX_REMOVED_VERSIONS
+    if surplus <= 0:
+        return ()
+    removed = [name for name in fleet["entry_versions"] if name not in fleet["targets"]]
+    return tuple(removed[:surplus])
+
+
 def expired_unconfirmed_removals(fleet: FleetState, now: float) -> tuple[str, ...]:
     """Return the targets whose removal is certain, since they were not listed again in time."""
     return tuple(
--- a/src/jacinthsail/platform/decoding.py
+++ b/src/jacinthsail/platform/decoding.py
@@ -11,7 +11,7 @@
 
 from jacinthsail.errors import MalformedMessage
 from jacinthsail.internal.model.document import Execution
-from jacinthsail.internal.model.fleet import TargetEntry
+from jacinthsail.internal.model.fleet import EntryVersion, TargetEntry
 from jacinthsail.internal.model.manifest import (
     Branch,
     ClientLimits,
@@ -20,11 +20,15 @@
     ServiceSettings,
 )
 from jacinthsail.internal.model.settings import Endpoint
+from jacinthsail.internal.model.store import TargetPublished
 from jacinthsail.platform import names
 
 # More slots than any small VM can serve; a larger number is an error in the published entry.
 MAX_SLOTS = 100_000
 
+# Start times in milliseconds and numbers of writes are far smaller.
+MAX_COUNT = 2**63 - 1
+
 MAX_PORT = 65_535
 
 # Longer names are no names of the platform; the limit also bounds log lines.
@@ -136,8 +140,8 @@
 
 def decode_target(
     incarnation: str, body: bytes, regions: Mapping[str, str]
-) -> Result[TargetEntry, MalformedMessage]:
-    """Return the entry of a target.
+) -> Result[TargetPublished, MalformedMessage]:
+    """Return the entry of a target and its version.
 
     The incarnation is passed in because only the key of the store item holds it.
     """
@@ -151,19 +155,27 @@
         # The remaining time for which the target is slow after its start, although the key
         # suggests the degree to which it is warm.
         warm_up_s = duration_s(table["warmupLeft"])
+        born = table.get("born")
+        version = EntryVersion(
+            started_at_ms=None if born is None else bounded_integer(born, 0, MAX_COUNT),
+            sequence=bounded_integer(table["sequence"], 0, MAX_COUNT),
+        )
         return Success(
-            TargetEntry(
-                # The incarnation is sent as a header of each request to the target.
-                incarnation=token(incarnation),
-                service=non_empty_text(table["service"]),
-                host=address.host,
-                port=address.port,
-                failure_domain=failure_domain,
-                region=regions.get(failure_domain, failure_domain),
-                # The maximum number of requests that the target executes at a time.
-                slots=bounded_integer(table["concurrency"], 1, MAX_SLOTS),
-                is_draining=state == names.TARGET_STATE_DRAINING,
-                warm_up_s=warm_up_s,
+            TargetPublished(
+                TargetEntry(
+                    # The incarnation is sent as a header of each request to the target.
+                    incarnation=token(incarnation),
+                    service=non_empty_text(table["service"]),
+                    host=address.host,
+                    port=address.port,
+                    failure_domain=failure_domain,
+                    region=regions.get(failure_domain, failure_domain),
+                    # The maximum number of requests that the target executes at a time.
+                    slots=bounded_integer(table["concurrency"], 1, MAX_SLOTS),
+                    is_draining=state == names.TARGET_STATE_DRAINING,
+                    warm_up_s=warm_up_s,
+                ),
+                version,
             )
         )
     except DECODE_ERRORS as error:
--- a/src/jacinthsail/platform/store.py
+++ b/src/jacinthsail/platform/store.py
@@ -26,7 +26,6 @@
     StoreResponse,
     StoreSnapshot,
     StoreUnavailable,
-    TargetPublished,
     TargetRemoved,
     UndecodableItem,
 )
@@ -118,8 +117,9 @@
         if incarnation == item.key:
             return UndecodableItem(item.key, "neither the manifest nor a target")
         match decode_target(incarnation, item.body, self.regions):
-            case Success(entry):
-                return TargetPublished(entry)
+            case Success(published):
+                change: StoreChange = published
+                return change
             case Failure(error):
                 return UndecodableItem(item.key, error.detail)
         raise AssertionError("a result is a success or a failure")
--- a/tests/fast/test_platform_decoding.py
+++ b/tests/fast/test_platform_decoding.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Success
 
 from jacinthsail.internal.model.document import Execution
+from jacinthsail.internal.model.fleet import EntryVersion
 from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.model.store import StoreSnapshot, StoreUnavailable, UndecodableItem
 from jacinthsail.platform.decoding import (
@@ -112,10 +113,14 @@
 
     def test_target_is_decoded(self):
         """A draining target decoded as ready would get new requests."""
-        entry = decode_target("i-1", encoded({**ENTRY, "state": "draining"}), {"manila": "luzon"})
-        self.assertTrue(entry.unwrap().is_draining)
-        self.assertEqual(entry.unwrap().region, "luzon")
-        self.assertEqual((entry.unwrap().host, entry.unwrap().port), ("10.1.0.9", 8080))
+        published = decode_target(
+            "i-1", encoded({**ENTRY, "state": "draining", "born": 17}), {"manila": "luzon"}
+        )
+        entry, version = published.unwrap()
+        self.assertTrue(entry.is_draining)
+        self.assertEqual(entry.region, "luzon")
+        self.assertEqual((entry.host, entry.port), ("10.1.0.9", 8080))
+        self.assertEqual(version, EntryVersion(17, 4))
 
     @DETERMINISTIC
     @given(st.sampled_from(paths_in(MANIFEST)), JSON)
@@ -130,8 +135,8 @@
         """A malformed entry must be rejected or yield a target with valid values."""
         result = decode_target("i-1", encoded(replaced(ENTRY, path, value)), {})
         if isinstance(result, Success):
-            self.assertGreater(result.unwrap().slots, 0)
-            self.assertTrue(result.unwrap().service)
+            self.assertGreater(result.unwrap().entry.slots, 0)
+            self.assertTrue(result.unwrap().entry.service)
 
     @DETERMINISTIC
     @given(st.binary() | JSON.map(encoded))
@@ -142,7 +147,7 @@
 
     def test_missing_fields_are_rejected(self):
         """A missing field must not be decoded as zero."""
-        for name in ("service", "address", "zone", "concurrency", "state"):
+        for name in ("service", "address", "zone", "concurrency", "state", "sequence"):
             with self.subTest(name=name):
                 incomplete = {key: value for key, value in ENTRY.items() if key != name}
                 self.assertIsInstance(decode_target("i-1", encoded(incomplete), {}), Failure)
--- a/tests/fast/test_store_reading.py
+++ b/tests/fast/test_store_reading.py
@@ -3,13 +3,14 @@
 import unittest
 from random import Random
 
-from jacinthsail.internal.commands.fleet import record_store_served
+from jacinthsail.internal.commands.fleet import record_entry_version, record_store_served
 from jacinthsail.internal.commands.store_copy import record_copied, record_items
 from jacinthsail.internal.commands.store_reading import (
     apply_changes,
     record_response,
     remove_unconfirmed_targets,
 )
+from jacinthsail.internal.model.fleet import EntryVersion
 from jacinthsail.internal.model.store import (
     HistoryCompacted,
     ManifestPublished,
@@ -23,7 +24,11 @@
     TargetRemoved,
 )
 from jacinthsail.internal.model.store_sources import StoreRole
-from jacinthsail.internal.queries.fleet_view import new_fleet, removals_confirmed_at
+from jacinthsail.internal.queries.fleet_view import (
+    MAX_REMOVED_VERSIONS,
+    new_fleet,
+    removals_confirmed_at,
+)
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_reading import (
     MAX_FALLBACK_RETRY_DELAY_S,
@@ -45,13 +50,17 @@
     return PublishedItem(name, revision, body)
 
 
+def published(entry, started_at_ms=1, sequence=1):
+    return TargetPublished(entry, EntryVersion(started_at_ms, sequence))
+
+
 class StoreReadingTest(unittest.TestCase):
     def setUp(self):
         self.fleet = new_fleet(LOCATION)
         self.reading = new_read_state()
         self.copy = new_store_copy()
         self.published = {}
-        self.apply(StoreSnapshot((item("a", 5),), 5), 0.0, TargetPublished(target("a")))
+        self.apply(StoreSnapshot((item("a", 5),), 5), 0.0, published(target("a")))
 
     def apply(self, response, now, *changes):
         """Apply a response of the store, whose items decode to the changes."""
@@ -163,16 +172,51 @@
         record_store_served(self.fleet, 4.5)
         self.assertLess(removals_confirmed_at(self.fleet), 0.0)
 
+    def write(self, revision, started_at_ms, sequence, is_draining):
+        change = published(target("a", is_draining=is_draining), started_at_ms, sequence)
+        update = StoreDelta((item("a", revision),), revision - 1, revision)
+        self.apply(update, 1.0, change)
+
+    def test_late_write_does_not_undo_that_a_target_is_leaving(self):
+        """A target that has said that it leaves would get new requests again."""
+        self.write(6, 1, 8, True)
+        self.write(7, 1, 7, False)
+        self.assertTrue(self.fleet["targets"]["a"].is_draining)
+
+    def test_late_write_does_not_bring_back_a_removed_target(self):
+        """Requests would be sent to a target that has ended."""
+        self.write(6, 1, 8, True)
+        self.apply(StoreDelta((item("a", 7, None),), 6, 7), 1.0, TargetRemoved("a"))
+        self.write(8, 1, 7, False)
+        self.assertEqual(self.fleet["targets"], {})
+
+    def test_target_that_starts_again_under_its_name_is_used(self):
+        """Its writes are counted anew, and would all look late."""
+        self.write(6, 1, 800, True)
+        self.write(7, 2, 1, False)
+        self.assertFalse(self.fleet["targets"]["a"].is_draining)
+        # Without the time of the start, a lower number may be that of a new start.
+        self.write(8, None, 5, True)
+        self.write(9, None, 1, False)
+        self.assertFalse(self.fleet["targets"]["a"].is_draining)
+
+    def test_versions_of_removed_targets_are_bounded(self):
+        """The memory of a node would grow with each target that was ever replaced."""
+        for number in range(MAX_REMOVED_VERSIONS + 50):
+            record_entry_version(self.fleet, f"gone-{number}", EntryVersion(1, 1))
+        self.assertEqual(len(self.fleet["entry_versions"]), MAX_REMOVED_VERSIONS + 1)
+        self.assertIn("a", self.fleet["entry_versions"])
+
     def test_target_published_again_after_an_outage_stays(self):
         """A target that is published again would be dropped at the end of the grace period."""
         self.apply(StoreUnavailable("silent"), 1.0)
         self.apply(StoreDelta((item("a", 6, None),), 5, 6), 9.0, TargetRemoved("a"))
-        self.apply(StoreDelta((item("a", 7),), 6, 7), 10.0, TargetPublished(target("a")))
+        self.apply(StoreDelta((item("a", 7),), 6, 7), 10.0, published(target("a")))
         remove_unconfirmed_targets(self.fleet, 12.0)
         self.assertIn("a", self.fleet["targets"])
 
     def test_snapshot_drops_targets_that_it_does_not_name(self):
         """A target removed in the compacted part of the history would never be dropped."""
         self.apply(HistoryCompacted(), 1.0)
-        self.apply(StoreSnapshot((item("b", 8),), 9), 1.1, TargetPublished(target("b")))
+        self.apply(StoreSnapshot((item("b", 8),), 9), 1.1, published(target("b")))
         self.assertEqual(set(self.fleet["targets"]), {"b"})
