--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -158,7 +158,7 @@
         self._log_changes(changes, version, source)
         self.exchange.targets_changed()
         self.on_change()
-        self.exchange.report(_update_for_followers(update, items, before))
+        self.exchange.report(update_for_followers(update, items, before))
 
     def _log_outdated(self, changes: list[StoreChange]) -> None:
         for change in changes:
@@ -186,19 +186,22 @@
 
 
 @singledispatch
-def _update_for_followers(
+def update_for_followers(
     update: object, items: tuple[PublishedItem, ...], before: int
 ) -> StoreUpdate:
     """Return the update for nodes that know all changes up to revision ``before``."""
     raise NotImplementedError(f"no update for {type(update).__name__}; register one")
 
 
-@_update_for_followers.register
+@update_for_followers.register
 def _(update: StoreDelta, items: tuple[PublishedItem, ...], before: int) -> StoreUpdate:
-    return StoreDelta(items, before, update.revision)
+    # A snapshot may hold an item that changed after its revision. The later delta brings no news of
+    # it for this node, but may do so for a follower that learned that revision from another node.
+    news = tuple(item for item in update.items if item.revision > before)
+    return StoreDelta(news, before, update.revision)
 
 
-@_update_for_followers.register
+@update_for_followers.register
 def _(
     update: StoreSnapshot | StoreDifference, items: tuple[PublishedItem, ...], before: int
 ) -> StoreUpdate:
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from jacinthsail.internal.adapters.store_follower import update_for_followers
 from jacinthsail.internal.commands.store_copy import distrust_copy, record_copied, record_items
 from jacinthsail.internal.commands.store_sources import (
     add_source,
@@ -239,6 +240,17 @@
         copy = self.copy(StoreSnapshot((), 5))
         self.assertFalse(follows(StoreDelta((), 6, 9), copy))
 
+    def test_follower_of_two_readers_learns_of_an_item_on_a_later_page(self):
+        """The item was newer than the snapshot of one reader, which did not report it again."""
+        snapshot = StoreSnapshot((item("a", 3), item("z", 8, b"new")), 5)
+        reader = self.copy(snapshot)
+        follower = self.copy(StoreSnapshot((item("a", 3), item("z", 4, b"old")), 5))
+        delta = StoreDelta((item("z", 8, b"new"),), 5, 9)
+        report = update_for_followers(delta, items_to_apply(delta, reader), reader["revision"])
+        apply(follower, report)
+        self.assertEqual(follower["items"]["z"].body, b"new")
+        self.assertEqual(follower["revision"], 9)
+
     def test_difference_of_two_snapshots_applies_only_to_the_earlier_copy(self):
         """A target that came and went between the snapshots would stay at a node that saw it."""
         difference = StoreDifference((item("b", 9),), 5, 9)
