Stop accepting peers before the last message to them

Cause: a peer that connected between the last message and the end of the process could send a request that got neither a reply nor that message, and would count as possibly executed.

Change: the port for peers closes first. Unused methods that closed idle connections are removed.

Result: the new test in test_planned_stop passes; without the change the connection is accepted.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -67,9 +67,10 @@
 # Slots assumed until the local target is published.
 INITIAL_SLOTS = 64
 
-# Reserved at the end of the grace period for sending the responses of requests that have ended, to
-# callers that read slowly, and for closing the remaining connections.
+# Requests are in progress until this long before the end of the grace period.
 STOP_MARGIN_S = 1.0
+
+# Responses are sent to callers that read slowly until this long before the end of the grace period.
 EXIT_MARGIN_S = 0.3
 
 # Readiness is probed every second, and callers are sent elsewhere after two failed probes; requests
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -129,11 +129,6 @@
         if self.server is not None:
             self.server.close()
 
-    def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
     def close_all(self) -> None:
         """Close every connection, each after the responses that are written to it."""
         for connection in list(self.connections):
@@ -333,11 +328,6 @@
         if now - self.idle_since > limits.idle_timeout_s and self.transport is not None:
             self.transport.close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if not self.pending and not self.in_message and self.transport is not None:
-            self.transport.close()
-
     def unsent_bytes(self) -> int:
         """Return how many written bytes the kernel has not accepted yet."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -329,6 +329,9 @@
         Without the last message, a peer could not know whether a request that it sent at the end
         was executed.
         """
+        if self.server is not None:
+            # A request on a connection that opens now would get no reply and no last message.
+            self.server.close()
         load = load_report(self.local_target.queue)
         for connection, requests in self.inbound.items():
             connection.ignores_input = True
--- a/tests/fast/test_planned_stop.py
+++ b/tests/fast/test_planned_stop.py
@@ -5,7 +5,7 @@
 import unittest
 
 from jacinthsail.testing.platform_stand_ins import TargetStandIn
-from tests.common.platform_testbed import CALLERS_PORT, PlatformTestbed
+from tests.common.platform_testbed import CALLERS_PORT, PEERS_PORT, PlatformTestbed
 
 WORK_S = 0.3
 PIPELINE_INTERVAL_S = 0.1
@@ -160,3 +160,11 @@
             node.settings = node.settings._replace(grace_s=1.0)
             await node.stop()
             self.assertEqual((await charge).status, 502)
+
+    async def test_no_connection_is_accepted_after_the_last_message(self):
+        """Requests on it would get neither a reply nor the last message, and count as executed."""
+        async with PlatformTestbed() as testbed:
+            await start_fleet(testbed)
+            testbed.nodes[2].links.finish_inbound()
+            with self.assertRaises(OSError):
+                await asyncio.open_connection(testbed.host(2), PEERS_PORT)
