A reload signal during the start no longer ends a node

Cause: SIGHUP was sent before the node had a handler for it. Until the event loop runs, which takes the time of all imports, its default action ends the process.

The settings are read later, so no change is missed. Only the start of the interpreter itself is not covered.

--- a/src/jacinthsail/daemon.py
+++ b/src/jacinthsail/daemon.py
@@ -1,5 +1,6 @@
 """Entry point of ``jacinthsaild``, the node daemon."""
 
+import signal
 import sys
 
 from absl import app, flags
@@ -7,8 +8,6 @@
 
 from jacinthsail.errors import ConfigurationError, describe
 from jacinthsail.internal.adapters.files import read_text
-from jacinthsail.internal.adapters.node import NodeService
-from jacinthsail.internal.adapters.process import serve
 from jacinthsail.internal.model.settings import NodeSettings
 from jacinthsail.internal.queries.settings import parse_settings
 
@@ -32,6 +31,10 @@
     if _SETTINGS.value is None:
         print("--settings is missing; name the node's TOML settings file", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    # Importing these takes most of the start, during which main() has SIGHUP ignored.
+    from jacinthsail.internal.adapters.node import NodeService
+    from jacinthsail.internal.adapters.process import serve
+
     match read_settings(_SETTINGS.value):
         case Success(settings):
             serve(lambda loop: NodeService(settings, loop=loop), settings.log_buffer_lines)
@@ -44,6 +47,8 @@
 
 def main() -> None:
     """Run ``jacinthsaild``."""
+    # Until its handler is installed, SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     app.run(run)
 
 
--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -12,21 +12,26 @@
 NODES = 8
 LENGTH_S = 14.0
 
+# Seeds of planned work that failed, with the cause.
+FAILED_SEEDS = {
+    3: "callers that left at their time limit made stopping nodes lose 68 requests of others",
+    301: "SIGHUP ended a node that had just been started",
+}
+
 
 class SoakTest(unittest.TestCase):
-    def assert_held(self, seed, with_faults):
-        plan = draw_plan(seed, NODES, LENGTH_S, with_faults)
+    def assert_held(self, seed, with_faults, length_s=LENGTH_S):
+        plan = draw_plan(seed, NODES, length_s, with_faults)
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
         self.assertGreater(len(record["attempts"]), 1000)
         self.assertEqual(violations(record), [])
 
     def test_planned_work(self):
-        """Callers that left at their time limit made stopping nodes lose requests of others.
-
-        Seed 3 lost 68 requests before the fix.
-        """
-        self.assert_held(3, with_faults=False)
+        """Overlapping stops, reloads, manifests and target replacements must lose no request."""
+        for seed, cause in FAILED_SEEDS.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.assert_held(seed, with_faults=False, length_s=20.0)
 
     def test_faults(self):
         """Killed and frozen nodes, cut watches and an outage of the store, beside planned work."""
