--- a/src/jacinthsail/testing/soak_checks.py
+++ b/src/jacinthsail/testing/soak_checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from jacinthsail.testing.soak_model import (
+    GRACE_S,
     STILL_RUNNING,
     Attempt,
     Disturbance,
@@ -13,7 +14,6 @@
     Violation,
 )
 
-GRACE_S = 6.0
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 CONFIG_APPLY_S = 2.0
--- a/src/jacinthsail/testing/soak_clients.py
+++ b/src/jacinthsail/testing/soak_clients.py
@@ -231,27 +231,24 @@
 
 @run_client.register
 async def _(client: KeptClient, context: ClientContext) -> None:
-    connection: Connection | None = None
-    while not context.stopping.is_set():
-        await asyncio.sleep(PAUSE_S * context.random.uniform(0.5, 1.5))
-        if not context.is_in_use(client.node):
-            continue
-        connection = connection or await open_connection(context, client.node)
-        if connection is None:
-            continue
-        if not await send_one(context, client.node, connection):
-            connection = None
+    await _use_one_connection(client.node, context, heeds_readiness=True)
 
 
 @run_client.register
 async def _(client: StubbornClient, context: ClientContext) -> None:
+    await _use_one_connection(client.node, context, heeds_readiness=False)
+
+
+async def _use_one_connection(node: int, context: ClientContext, heeds_readiness: bool) -> None:
     connection: Connection | None = None
     while not context.stopping.is_set():
         await asyncio.sleep(PAUSE_S * context.random.uniform(0.5, 1.5))
-        connection = connection or await open_connection(context, client.node)
+        if heeds_readiness and not context.is_in_use(node):
+            continue
+        connection = connection or await open_connection(context, node)
         if connection is None:
             continue
-        if not await send_one(context, client.node, connection):
+        if not await send_one(context, node, connection):
             connection = None
 
 
--- a/src/jacinthsail/testing/soak_fleet.py
+++ b/src/jacinthsail/testing/soak_fleet.py
@@ -28,6 +28,7 @@
 )
 from jacinthsail.testing.soak_clients import HOST_HEADER
 from jacinthsail.testing.soak_model import (
+    GRACE_S,
     STILL_RUNNING,
     CutWatches,
     Departure,
@@ -56,10 +57,6 @@
 READY_TIMEOUT_S = 0.8
 MISSES_UNTIL_OUT = 2
 START_TIMEOUT_S = 20.0
-GRACE_S = 6.0
-
-# A process that is still there this long after SIGTERM gets SIGKILL.
-STOP_TIMEOUT_S = GRACE_S
 
 # A target that leaves serves on for this long after the store has accepted it.
 SERVES_ON_S = 2.5
@@ -88,7 +85,7 @@
 outbound = "{host}:{outbound_port}"
 ready = "{host}:{ready_port}"
 [bounds]
-grace = "6s"
+grace = "{grace_s}s"
 retryBudgetRatio = 0.2
 budgetWindow = "10s"
 budgetExtra = 50
@@ -351,6 +348,7 @@
     def _settings(self, node: int) -> str:
         return _SETTINGS.format(
             node=node,
+            grace_s=GRACE_S,
             host=self.host(node),
             zone=self.zone(node),
             service=self.service(node),
@@ -437,7 +435,7 @@
     fleet.disturb(action.node, "stop", is_planned=True)
     process.terminate()
     try:
-        async with asyncio.timeout(STOP_TIMEOUT_S):
+        async with asyncio.timeout(GRACE_S):
             await process.wait()
     except TimeoutError:
         fleet.record["unexpected_exits"].append(f"node {action.node} outlived its grace period")
--- a/src/jacinthsail/testing/soak_model.py
+++ b/src/jacinthsail/testing/soak_model.py
@@ -8,6 +8,9 @@
 
 STILL_RUNNING = float("inf")
 
+# Time between SIGTERM and the end of a process.
+GRACE_S = 6.0
+
 
 class Ending(StrEnum):
     """How an attempt of a client ended."""
