--- a/src/jacinthsail/testing/soak.py
+++ b/src/jacinthsail/testing/soak.py
@@ -19,8 +19,8 @@
     KeptClient,
     LeavingClient,
     PipeliningClient,
+    ReadinessIgnoringClient,
     SlowBodyClient,
-    StubbornClient,
     run_client,
 )
 from jacinthsail.testing.soak_fleet import SoakFleet, execute
@@ -51,7 +51,9 @@
             clients += [LeavingClient(node) for _ in range(plan.clients.leaving)]
             clients += [PipeliningClient(node) for _ in range(plan.clients.pipelining)]
             clients += [SlowBodyClient(node) for _ in range(plan.clients.slow_body)]
-            clients += [StubbornClient(node) for _ in range(plan.clients.stubborn)]
+            clients += [
+                ReadinessIgnoringClient(node) for _ in range(plan.clients.readiness_ignoring)
+            ]
         for client in clients:
             fleet.keep(run_client(client, fleet))
         started = fleet.now()
--- a/src/jacinthsail/testing/soak_clients.py
+++ b/src/jacinthsail/testing/soak_clients.py
@@ -78,13 +78,13 @@
     node: int
 
 
-class StubbornClient(NamedTuple):
+class ReadinessIgnoringClient(NamedTuple):
     """Uses its open connection until the process is gone, also after the node is not ready."""
 
     node: int
 
 
-Client = KeptClient | LeavingClient | PipeliningClient | SlowBodyClient | StubbornClient
+Client = KeptClient | LeavingClient | PipeliningClient | SlowBodyClient | ReadinessIgnoringClient
 
 
 class SentRequest(NamedTuple):
@@ -231,19 +231,19 @@
 
 @run_client.register
 async def _(client: KeptClient, context: ClientContext) -> None:
-    await _use_one_connection(client.node, context, heeds_readiness=True)
+    await _use_one_connection(client.node, context, respects_readiness=True)
 
 
 @run_client.register
-async def _(client: StubbornClient, context: ClientContext) -> None:
-    await _use_one_connection(client.node, context, heeds_readiness=False)
+async def _(client: ReadinessIgnoringClient, context: ClientContext) -> None:
+    await _use_one_connection(client.node, context, respects_readiness=False)
 
 
-async def _use_one_connection(node: int, context: ClientContext, heeds_readiness: bool) -> None:
+async def _use_one_connection(node: int, context: ClientContext, respects_readiness: bool) -> None:
     connection: Connection | None = None
     while not context.stopping.is_set():
         await asyncio.sleep(PAUSE_S * context.random.uniform(0.5, 1.5))
-        if heeds_readiness and not context.is_in_use(node):
+        if respects_readiness and not context.is_in_use(node):
             continue
         connection = connection or await open_connection(context, node)
         if connection is None:
--- a/src/jacinthsail/testing/soak_model.py
+++ b/src/jacinthsail/testing/soak_model.py
@@ -176,7 +176,7 @@
     leaving: int
     pipelining: int
     slow_body: int
-    stubborn: int
+    readiness_ignoring: int
 
 
 class SoakPlan(NamedTuple):
--- a/src/jacinthsail/testing/soak_plan.py
+++ b/src/jacinthsail/testing/soak_plan.py
@@ -34,7 +34,7 @@
         leaving=random.randint(4, 12),
         pipelining=random.randint(0, 2),
         slow_body=random.randint(0, 2),
-        stubborn=random.randint(0, 2),
+        readiness_ignoring=random.randint(0, 2),
     )
     actions: list[Action] = []
     at = WARM_UP_S
