Deliver responses that arrive at the end of a grace period

Callers saw nothing yet; found by reading, while looking for further causes of the requests lost around SIGTERM.

Cause: requests in progress were cut exactly 1.0 s before the end of the grace period. A target that is still at work in the last sixth of it excuses a cut. With a grace period of 6 s that sixth begins at the cut itself, so a response that had left its target just before was cut on its way. With a shorter grace period every response of up to half a second was cut.

Change: the times of all steps of a stop come from one query, stop_schedule.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -51,6 +51,7 @@
     targets_on_host,
 )
 from jacinthsail.internal.queries.retry_budget import new_retry_budget
+from jacinthsail.internal.queries.stopping import stop_schedule
 from jacinthsail.internal.queries.store_copy import new_store_copy
 from jacinthsail.internal.queries.store_reading import new_read_state
 from jacinthsail.internal.queries.store_sources import new_store_sources
@@ -67,25 +68,6 @@
 # Slots assumed until the local target is published.
 INITIAL_SLOTS = 64
 
-# Requests are in progress until this long before the end of the grace period.
-STOP_MARGIN_S = 1.0
-
-# Responses are sent to callers that read slowly until this long before the end of the grace period.
-EXIT_MARGIN_S = 0.3
-
-# Readiness is probed every second, and callers are sent elsewhere after two failed probes; requests
-# that arrive until then must be served.
-READINESS_PROPAGATION_S = 2.6
-
-# Requests for the local target are accepted until this long before the port closes. Refusing them
-# for all of READINESS_PROPAGATION_S would leave its slots unused for longer than the restart takes.
-DRAIN_BEFORE_CLOSE_S = 0.5
-
-# The port for callers stays open for up to this much longer while requests are in flight at the
-# local target, because they may make nested calls through it. Nearly all of them finish within
-# this time, and waiting longer would let new callers connect.
-NESTED_CALLS_DRAIN_S = 0.6
-
 # Peers close their connections to this node within a round trip, unless they are unreachable.
 PEERS_CLOSE_S = 0.2
 
@@ -287,31 +269,28 @@
         """Refuse new requests for the local target, finish those in progress, then close."""
         loop = asyncio.get_running_loop()
         started = loop.time()
-        latest = started + self.settings.grace_s - STOP_MARGIN_S
+        schedule = stop_schedule(started, self.settings.grace_s)
         _LOG.info("stop requested; %d requests in progress", len(self.router.open_requests))
-        closes_at = min(latest, started + READINESS_PROPAGATION_S)
         self.is_draining = True
         self.callers_port.is_closing = True
-        await asyncio.sleep(max(0.0, closes_at - DRAIN_BEFORE_CLOSE_S - loop.time()))
+        await asyncio.sleep(max(0.0, schedule.target_refuses_at - loop.time()))
         stop_accepting_requests(self.target_queue)
         self.links.announce_draining()
         self.local_target.refuse_all_queued(Reason.DRAINING)
-        await asyncio.sleep(max(0.0, closes_at - loop.time()))
-        self.router.stop_accepting(latest)
+        await asyncio.sleep(max(0.0, schedule.refuses_at - loop.time()))
+        self.router.stop_accepting(schedule.nested_calls_end_at)
         # The local target may still make nested calls for the requests in progress.
-        nested_calls_until = min(latest, loop.time() + NESTED_CALLS_DRAIN_S)
-        await self._wait_while(self._is_target_at_work, nested_calls_until)
+        await self._wait_while(self._is_target_at_work, schedule.stops_listening_at)
         self.callers_port.close_listener()
         # Idle connections stay open: a request that is on its way gets a refusal, which its caller
         # may act on, and not a reset, which leaves open whether it was executed.
-        await self._wait_while(self._has_work, latest)
+        await self._wait_while(self._has_work, schedule.cuts_at)
         self.callers_port.close_all()
         self.links.finish_inbound()
-        exits_at = started + self.settings.grace_s - EXIT_MARGIN_S
-        peers_until = min(exits_at, loop.time() + PEERS_CLOSE_S)
+        peers_until = min(schedule.exits_at, loop.time() + PEERS_CLOSE_S)
         await self._wait_while(self.links.has_inbound_connections, peers_until)
         self.has_finished = True
-        await self._wait_while(self.callers_port.has_unsent_responses, exits_at)
+        await self._wait_while(self.callers_port.has_unsent_responses, schedule.exits_at)
 
     async def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
         """Wait while a condition holds, at most until a time."""
--- a/tests/fast/test_planned_stop.py
+++ b/tests/fast/test_planned_stop.py
@@ -81,6 +81,31 @@
             self.assertGreater(received, size)
 
 
+class EndOfGraceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_response_that_arrives_at_the_end_of_the_grace_period_is_delivered(self):
+        """It left its target in time and was cut while it crossed to the node of its caller."""
+        grace_s = 3.0
+        # The target is done just before the last sixth of the grace period.
+        travel_s = 0.03
+        arrives_s = grace_s * 5 / 6 + travel_s
+
+        async with PlatformTestbed() as testbed:
+            stopping = []
+
+            def respond_late(target, request, respond):
+                loop = asyncio.get_running_loop()
+                node = testbed.nodes[1]
+                node.settings = node.settings._replace(grace_s=grace_s)
+                stopping.append(asyncio.ensure_future(node.stop()))
+                loop.call_later(arrives_s, lambda: respond(target.response_to(request)))
+
+            await start_fleet(testbed, respond_late)
+            caller = await testbed.caller(1)
+            charge = await caller.send_request("/charge/x", "r-1", method="POST", body=b"1")
+            await stopping[0]
+            self.assertEqual(getattr(charge, "status", charge), 200)
+
+
 class LateRequestTest(unittest.IsolatedAsyncioTestCase):
     async def test_request_on_a_kept_connection_after_the_port_closed_is_refused(self):
         """It was passed on and cut at the end of the grace period, or cut without an answer."""
