Keep charges in flight at a silent peer until they are answered

Callers saw 502 without a seal 1.2 to 1.4 s after a peer had stopped sending, for requests that must not be executed twice, while the target beside that peer ran them to the end.

Cause: a connection with requests in flight that was silent for 1.2 s was closed, and all requests on it were reported as possibly executed. A request that may be repeated is then sent elsewhere. One that may not can only be failed, although a peer that was paused or had too little processor time answers it later. Also, the requests of a link were settled whenever its newest connection closed, whichever connection they had been sent on.

Change: the silent connection is replaced, not closed. Requests that may be repeated are cancelled on it and sent elsewhere, requests that were not sent yet are reported as not executed, and the others wait for their responses or their deadlines. Each request knows its connection. The decisions are in queries/peer_silence.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -30,6 +30,7 @@
     record_load,
     record_node_draining,
     record_node_started,
+    record_target_unreachable,
 )
 from jacinthsail.internal.commands.retry_budget import set_budget
 from jacinthsail.internal.commands.store_reading import remove_unconfirmed_targets
@@ -136,6 +137,7 @@
             self._on_load,
             self._on_peer_started,
             self._on_peer_draining,
+            self._on_peer_silent,
             self.exchange,
         )
         self.metrics = RequestMetrics()
@@ -179,6 +181,11 @@
         now = asyncio.get_running_loop().time()
         record_node_draining(self.fleet, targets_on_host(self.fleet, host), now)
 
+    def _on_peer_silent(self, host: str) -> None:
+        now = asyncio.get_running_loop().time()
+        for incarnation in targets_on_host(self.fleet, host):
+            record_target_unreachable(self.fleet, incarnation, now)
+
     def apply_published(self) -> None:
         """Apply the published state of the local target, the limits and the number of targets."""
         budget = self.settings.budget
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -28,8 +28,15 @@
     StoreReport,
     UnfollowStore,
 )
+from jacinthsail.internal.model.peer_silence import (
+    AwaitPong,
+    PeerHeard,
+    ReplaceConnection,
+    SendPing,
+)
 from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.request_state import ForwardedOutcome, ForwardedRequest
+from jacinthsail.internal.queries.peer_silence import outcome_at_silent_peer, silence_step
 from jacinthsail.internal.queries.target_queue import RETRY_AFTER_UNREACHABLE_S, load_report
 
 _LOG = logging.getLogger("jacinthsail.peers")
@@ -38,12 +45,6 @@
 # connection is frozen or unreachable.
 CONNECT_TIMEOUT_S = 0.6
 
-# With requests in flight, a peer that sent nothing for this long is sent a ping.
-PING_AFTER_S = 0.4
-
-# After this long without any message, even after a ping, the connection is replaced.
-SILENCE_TIMEOUT_S = 1.2
-
 SILENCE_CHECK_INTERVAL_S = 0.2
 
 OnOutcome = Callable[[ForwardedOutcome], None]
@@ -77,9 +78,12 @@
 
 
 class PendingPeerRequest:
-    """A request for a peer, waiting for a connection or in flight; ``cancel`` abandons it."""
+    """A request for a peer, waiting for a connection or in flight; ``cancel`` abandons it.
 
-    __slots__ = ("link", "forward_id", "forwarded", "on_outcome")
+    ``connection`` is the one on which it was sent, which may have been replaced since.
+    """
+
+    __slots__ = ("link", "forward_id", "forwarded", "on_outcome", "connection")
 
     def __init__(
         self, link: "PeerLink", forwarded: ForwardedRequest, on_outcome: OnOutcome
@@ -88,6 +92,7 @@
         self.forward_id = 0
         self.forwarded = forwarded
         self.on_outcome: OnOutcome | None = on_outcome
+        self.connection: PeerConnection | None = None
 
     def cancel(self) -> None:
         """Notify the peer that the outcome is no longer needed."""
@@ -103,13 +108,18 @@
 
 
 class PeerLink:
-    """The connection to one peer; it is opened when there are requests for the peer."""
+    """The connection to one peer; it is opened when there are requests for the peer.
+
+    A connection that went silent, or whose peer reads too slowly, is replaced. It is kept in
+    ``replaced`` while requests wait for their responses on it.
+    """
 
     def __init__(self, links: "PeerLinks", host: str) -> None:
         self.links = links
         self.host = host
         self.connection: PeerConnection | None = None
         self.is_handshake_done = False
+        self.replaced: set[PeerConnection] = set()
         self.waiting: list[PendingPeerRequest] = []
         self.pending: dict[int, PendingPeerRequest] = {}
         self.task: asyncio.Task[None] | None = None
@@ -144,6 +154,7 @@
         assert self.connection is not None
         pending.forward_id = self.next_id
         self.next_id += 1
+        pending.connection = self.connection
         self.pending[pending.forward_id] = pending
         self.connection.last_used = self.links.loop.time()
         self.connection.send(
@@ -152,6 +163,10 @@
 
     async def _connect(self) -> None:
         self.is_handshake_done = False
+        if self.connection is not None:
+            self.replaced.add(self.connection)
+            self.close_if_finished(self.connection)
+            self.connection = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, self.connection = await self.links.loop.create_connection(
@@ -188,12 +203,23 @@
 
     def cancel_forward(self, pending: PendingPeerRequest) -> None:
         """Cancel a request at the peer, or discard it if no byte of it was sent."""
-        if self.pending.pop(pending.forward_id, None) is None or self.connection is None:
-            return
-        if self.connection.is_unsent(pending.forward_id):
-            self.connection.discard_unsent(pending.forward_id)
+        connection = pending.connection
+        if self.pending.pop(pending.forward_id, None) is None or connection is None:
             return
-        self.connection.send(Cancel(pending.forward_id))
+        if connection.is_unsent(pending.forward_id):
+            connection.discard_unsent(pending.forward_id)
+        else:
+            connection.send(Cancel(pending.forward_id))
+        self.close_if_finished(connection)
+
+    def pending_on(self, connection: PeerConnection) -> list[PendingPeerRequest]:
+        """Return the requests in flight on a connection."""
+        return [one for one in self.pending.values() if one.connection is connection]
+
+    def close_if_finished(self, connection: PeerConnection) -> None:
+        """Close a replaced connection once no request waits for a response on it."""
+        if connection in self.replaced and not self.pending_on(connection):
+            connection.abort()
 
     def deliver(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message from the peer."""
@@ -201,47 +227,64 @@
 
     def on_closed(self, connection: PeerConnection) -> None:
         """Settle the requests whose replies can no longer arrive."""
-        if connection is not self.connection:
-            return
-        self.connection = None
-        self.is_handshake_done = False
-        pending, self.pending = self.pending, {}
-        for request in pending.values():
+        lost = self._take_pending(connection)
+        is_current = connection is self.connection
+        self.replaced.discard(connection)
+        if is_current:
+            self.connection = None
+            self.is_handshake_done = False
+        for request in lost:
             if connection.is_unsent(request.forward_id):
                 request.settle(NotRun(Reason.PEER_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
                 continue
             request.settle(Unknown(Reason.CONNECTION_LOST, 0))
-        self.links.sharing.link_lost(self.host)
+        if is_current:
+            self.links.sharing.link_lost(self.host)
 
-    def settle_unread(self) -> None:
+    def _take_pending(self, connection: PeerConnection) -> list[PendingPeerRequest]:
+        taken = self.pending_on(connection)
+        for request in taken:
+            del self.pending[request.forward_id]
+        return taken
+
+    def settle_unread(self, connection: PeerConnection) -> None:
         """Settle the requests that the peer has not read, and will not, as not executed."""
-        pending, self.pending = self.pending, {}
-        for request in pending.values():
+        for request in self._take_pending(connection):
             request.settle(NotRun(Reason.DRAINING, 0, RETRY_AFTER_UNREACHABLE_S))
 
     def check_silence(self, now: float) -> None:
-        """Ping a silent peer with requests in flight; abort the connection if it stays silent."""
-        if self.connection is None or not self.pending:
-            return
-        silent_s = now - self.connection.last_received
-        if silent_s < PING_AFTER_S:
-            self.pinged_at = 0.0
+        """Ping a silent peer with requests in flight; replace the connection if it stays silent."""
+        connection = self.connection
+        if connection is None or not self.pending or not self.pending_on(connection):
             return
-        if self.pinged_at == 0.0:
-            self.pinged_at = now
-            self.connection.send(Ping())
-            return
-        if (
-            now - max(self.pinged_at, self.connection.last_received)
-            > SILENCE_TIMEOUT_S - PING_AFTER_S
-        ):
-            _LOG.warning(
-                "peer %s was silent for %.1f s with %d requests in flight; connection replaced",
-                self.host,
-                silent_s,
-                len(self.pending),
+        step = silence_step(connection.last_received, self.pinged_at, now)
+        _apply_silence_step(step, self, connection, now)
+
+    def replace_silent(self, connection: PeerConnection, silent_s: float) -> None:
+        """Send further requests on a new connection, and those that may be repeated elsewhere."""
+        in_flight = self.pending_on(connection)
+        _LOG.warning(
+            "peer %s was silent for %.1f s with %d requests in flight; connection replaced",
+            self.host,
+            silent_s,
+            len(in_flight),
+        )
+        self.connection = None
+        self.is_handshake_done = False
+        self.pinged_at = 0.0
+        self.replaced.add(connection)
+        connection.send(UnfollowStore())
+        self.links.on_peer_silent(self.host)
+        for request in in_flight:
+            outcome = outcome_at_silent_peer(
+                request.forwarded.repeatable, connection.is_unsent(request.forward_id)
             )
-            self.connection.abort()
+            if outcome is None:
+                continue
+            self.cancel_forward(request)
+            request.settle(outcome)
+        self.close_if_finished(connection)
+        self.links.sharing.link_lost(self.host)
 
 
 class PeerLinks:
@@ -256,6 +299,7 @@
         on_load: OnLoad,
         on_peer_started: PeerCallback,
         on_peer_draining: PeerCallback,
+        on_peer_silent: PeerCallback,
         sharing: StoreSharing,
     ) -> None:
         self.hello = hello
@@ -265,6 +309,7 @@
         self.on_load = on_load
         self.on_peer_started = on_peer_started
         self.on_peer_draining = on_peer_draining
+        self.on_peer_silent = on_peer_silent
         self.sharing = sharing
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, PeerLink] = {}
@@ -286,10 +331,11 @@
         return connection
 
     def _check_links(self) -> None:
+        self.timer = self.loop.call_later(SILENCE_CHECK_INTERVAL_S, self._check_links)
         now = self.loop.time()
-        for link in self.links.values():
+        # A request that is sent elsewhere may open the first connection to another peer.
+        for link in tuple(self.links.values()):
             link.check_silence(now)
-        self.timer = self.loop.call_later(SILENCE_CHECK_INTERVAL_S, self._check_links)
 
     def send(
         self, host: str, forwarded: ForwardedRequest, on_outcome: OnOutcome
@@ -353,12 +399,42 @@
         if self.server is not None:
             self.server.close()
         for link in self.links.values():
-            if link.connection is not None:
-                link.connection.abort()
+            for connection in (link.connection, *link.replaced):
+                if connection is not None:
+                    connection.abort()
         for connection in list(self.inbound):
             connection.abort()
 
 
+@singledispatch
+def _apply_silence_step(
+    step: object, link: PeerLink, connection: PeerConnection, now: float
+) -> None:
+    """Execute the step that was decided about a connection with requests in flight."""
+    raise NotImplementedError(f"no action for {type(step).__name__}; register one")
+
+
+@_apply_silence_step.register
+def _(step: PeerHeard, link: PeerLink, connection: PeerConnection, now: float) -> None:
+    link.pinged_at = 0.0
+
+
+@_apply_silence_step.register
+def _(step: AwaitPong, link: PeerLink, connection: PeerConnection, now: float) -> None:
+    """Do nothing until the next check."""
+
+
+@_apply_silence_step.register
+def _(step: SendPing, link: PeerLink, connection: PeerConnection, now: float) -> None:
+    link.pinged_at = now
+    connection.send(Ping())
+
+
+@_apply_silence_step.register
+def _(step: ReplaceConnection, link: PeerLink, connection: PeerConnection, now: float) -> None:
+    link.replace_silent(connection, step.silent_s)
+
+
 @singledispatch
 def _handle_reply(message: object, link: PeerLink, connection: PeerConnection) -> None:
     """Handle a message on a connection that this node opened."""
@@ -379,11 +455,13 @@
         return
     link.links.on_load(pending.forwarded.incarnation, message.load)
     pending.settle(message.outcome)
+    link.close_if_finished(connection)
 
 
 @_handle_reply.register
 def _(message: Pong, link: PeerLink, connection: PeerConnection) -> None:
-    link.pinged_at = 0.0
+    if connection is link.connection:
+        link.pinged_at = 0.0
 
 
 @_handle_reply.register
@@ -394,13 +472,15 @@
 
 @_handle_reply.register
 def _(message: ConnectionClosing, link: PeerLink, connection: PeerConnection) -> None:
-    link.settle_unread()
+    link.settle_unread(connection)
     connection.close()
 
 
 @_handle_reply.register
 def _(message: StoreReport, link: PeerLink, connection: PeerConnection) -> None:
-    link.links.sharing.receive_report(link.host, message)
+    # A connection that was replaced may still deliver reports, which are old.
+    if connection is link.connection:
+        link.links.sharing.receive_report(link.host, message)
 
 
 @_handle_reply.register
--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -109,7 +109,7 @@
 
         The link itself decides about a connection with requests in flight.
         """
-        if link.connection is not None and not link.pending:
+        if link.connection is not None and not link.pending_on(link.connection):
             link.connection.abort()
             return
         link.send_control(UnfollowStore())
