Close the connection after a request to switch protocols

Callers that reuse the connection saw no response to their next request.

Cause: the parser reads nothing after a request with an Upgrade header. The request was served, and its response did not say that the connection closes.

Change: such a request is the last one of its connection.

--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -262,6 +262,8 @@
         # While the server closes, the next request of each connection is its last one. A caller
         # that never waits for a response would otherwise use the connection until it is cut.
         closes = self.server.is_closing or not self.parser.should_keep_alive()
+        # The parser reads nothing after a request to switch protocols, which is not done here.
+        closes = closes or self.parser.should_upgrade()
         pending = PendingResponse(self, closes, method == "HEAD")
         if closes:
             self.ignores_input = True
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -483,3 +483,16 @@
                     self.assertIn(status, line)
                     writer.close()
             self.assertEqual(testbed.targets[2].executions, [])
+
+    async def test_connection_closes_after_a_request_to_switch_protocols(self):
+        """Nothing was read after it, so the next request on the connection got no response."""
+        lookup = b"GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: r-1\r\n"
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed, respond_after(0.0))
+            reader, writer = await asyncio.open_connection(testbed.host(1), 18300)
+            writer.write(lookup + b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n")
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3.0)
+            self.assertIn(b" 200 ", head)
+            self.assertIn(b"Connection: close", head)
+            await asyncio.wait_for(reader.read(), 3.0)
+            writer.close()
