Keep no body of an entry that is too large for a target

Nothing was seen by callers; found while looking for the reports on odd entries.

Cause: the copy of the store kept every entry under the targets' prefix whole, also one that no node can decode.

Change: an entry of more than 64 KiB is refused with one log line, and an empty body is kept in its place.

--- a/src/jacinthsail/platform/store.py
+++ b/src/jacinthsail/platform/store.py
@@ -46,6 +46,10 @@
 RESPONSE_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 
+# An entry of a target has a few hundred bytes. Larger ones come from other writers, and a copy that
+# holds many of them would exceed the largest message between nodes.
+MAX_ENTRY_BYTES = 64 * 1024
+
 # Revisions are sent between nodes as 64-bit numbers.
 MAX_REVISION = 2**63 - 1
 
@@ -197,11 +201,16 @@
     revision = _revision(raw["revision"])
     if raw.get("deleted") is True:
         return PublishedItem(key, revision, None)
+    # No manifest or target decodes from an empty body, so the item is refused and logged once.
+    unreadable = PublishedItem(key, revision, b"")
     try:
-        return PublishedItem(key, revision, base64.b64decode(raw["value"], validate=True))
+        body = base64.b64decode(raw["value"], validate=True)
     except DECODE_ERRORS:
-        # No manifest or target decodes from an empty body, so the item is refused and logged once.
-        return PublishedItem(key, revision, b"")
+        return unreadable
+    if key.startswith(names.TARGETS_PREFIX) and len(body) > MAX_ENTRY_BYTES:
+        _LOG.warning("store item %s has %d bytes, more than any target's entry", key, len(body))
+        return unreadable
+    return PublishedItem(key, revision, body)
 
 
 def _revision(value: object) -> int:
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -115,6 +115,26 @@
             for node in testbed.nodes.values():
                 self.assertEqual(len(node.fleet["targets"]), NODES)
 
+    async def test_large_entries_do_not_stop_the_followers(self):
+        """Nodes kept 24 MB of unreadable entries, more than one message between nodes can carry."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            for number in range(24):
+                testbed.store.put(f"servers/i-odd-{number}", b"[" * 1_000_000)
+                if number % 4 == 3:
+                    testbed.store.put("op/config", manifest(number))
+                    await self.wait_for_version(testbed, number)
+            # A node that lacks the older changes gets all items in one message.
+            late = NODES + 1
+            await testbed.add_target(late, TargetStandIn(f"i-{late}"))
+            node = await testbed.add_node(late, service="seals")
+            await testbed.wait_until(lambda: node.is_ready())
+            testbed.store.put("op/config", manifest(30))
+            await self.wait_for_version(testbed, 30)
+            for node in testbed.nodes.values():
+                held = sum(len(item.body) for item in node.copy["items"].values())
+                self.assertLess(held, 100_000)
+
     async def test_unexpected_error_does_not_stop_the_followers(self):
         """One error in the code that applies a change would end the process, at every node."""
         async with PlatformTestbed() as testbed:
