Put proxies, longer requests and spoiled responses into the soak

Cause: runs had direct connections on loopback, requests of at most 0.9 s and sound targets. Messages never crossed on their way, no request lasted until the end of a stop, and no connection went silent or was cut one way.

Planned work then also removes VMs: a target leaves and ends, then its node is stopped. Targets, actions and the proxy have modules of their own.

--- a/src/jacinthsail/testing/soak.py
+++ b/src/jacinthsail/testing/soak.py
@@ -13,6 +13,7 @@
 
 from absl import app, flags
 
+from jacinthsail.testing.soak_actions import execute
 from jacinthsail.testing.soak_checks import violations
 from jacinthsail.testing.soak_clients import (
     Client,
@@ -23,7 +24,7 @@
     SlowBodyClient,
     run_client,
 )
-from jacinthsail.testing.soak_fleet import SoakFleet, execute
+from jacinthsail.testing.soak_fleet import SoakFleet
 from jacinthsail.testing.soak_model import Action, SoakPlan, SoakRecord, Violation
 from jacinthsail.testing.soak_plan import draw_plan
 
@@ -37,6 +38,9 @@
 _NODES = flags.DEFINE_integer("nodes", 8, "Number of nodes.", lower_bound=2, upper_bound=100)
 _LENGTH_S = flags.DEFINE_float("length_s", 20.0, "Time in which actions begin, in s.")
 _FAULTS = flags.DEFINE_boolean("faults", False, "Whether faults occur beside planned work.")
+_PROXIES = flags.DEFINE_boolean(
+    "proxies", False, "Whether proxies delay all links between nodes, and disturb them with faults."
+)
 _KEEP = flags.DEFINE_string("keep", "", "Folder for the logs of failed runs.")
 
 
@@ -85,7 +89,7 @@
     """Execute the runs; exit with 1 if one of them broke a promise."""
     failed = False
     for seed in range(_SEED.value, _SEED.value + _RUNS.value):
-        plan = draw_plan(seed, _NODES.value, _LENGTH_S.value, _FAULTS.value)
+        plan = draw_plan(seed, _NODES.value, _LENGTH_S.value, _FAULTS.value, _PROXIES.value)
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
             found = violations(record)
--- a/src/jacinthsail/testing/soak_clients.py
+++ b/src/jacinthsail/testing/soak_clients.py
@@ -41,6 +41,7 @@
 
     record: SoakRecord
     random: Random
+    work_ms: tuple[int, ...]
     stopping: asyncio.Event
     connections: "WeakSet[asyncio.StreamWriter]"
 
@@ -217,7 +218,7 @@
         request = request._replace(is_moved=random.random() < 0.5)
     body = b"" if is_repeatable else b"filed"
     framing = f"Content-Length: {len(body)}\r\n"
-    work_ms = random.choice((10, 30, 80, 300, 900))
+    work_ms = random.choice(context.work_ms)
     head = request_head(request, work_ms, random.choice((0, 0, 1, 2)), framing)
     connection.writer.write(head + body)
     return await exchange(context, node, connection, request, limit_ms / 1000 + PATIENCE_S)
--- a/src/jacinthsail/testing/soak_fleet.py
+++ b/src/jacinthsail/testing/soak_fleet.py
@@ -4,47 +4,23 @@
 import os
 import signal
 import sys
-import time
-from functools import singledispatch
 from pathlib import Path
 from random import Random
 from typing import Any
 from weakref import WeakSet
 
 from jacinthsail.internal.adapters.http_client import BrokenExchange
-from jacinthsail.internal.adapters.http_server import (
-    CallerServer,
-    HttpRequest,
-    HttpResponse,
-    RequestHandle,
-    ResponseCallback,
-)
-from jacinthsail.testing.platform_stand_ins import (
-    LIMITS,
-    CallerStandIn,
-    StoreStandIn,
-    header_of,
-    request_id_header,
-)
+from jacinthsail.testing.platform_stand_ins import CallerStandIn, StoreStandIn
 from jacinthsail.testing.soak_clients import HOST_HEADER
 from jacinthsail.testing.soak_model import (
     GRACE_S,
-    STILL_RUNNING,
-    CutWatches,
-    Departure,
     Disturbance,
-    Execution,
-    FreezeNode,
-    KillNode,
     MovedRoute,
-    PublishManifest,
-    ReloadNode,
-    ReplaceTarget,
     SoakPlan,
-    StopNode,
-    StoreOutage,
     new_record,
 )
+from jacinthsail.testing.soak_proxy import LinkProxy
+from jacinthsail.testing.soak_target import SoakTarget, response_body
 
 OUTBOUND_PORT = 18400
 INBOUND_PORT = 18401
@@ -58,12 +34,9 @@
 MISSES_UNTIL_OUT = 2
 START_TIMEOUT_S = 20.0
 
-# A target that leaves serves on for this long after the store has accepted it.
-SERVES_ON_S = 2.5
-
-CALL_WORK_MS = 15
-STATUS_TIMEOUT = 504
-STATUS_ERROR = 500
+# Last parts of the addresses of the store and of what is behind proxies.
+STORE_HOST = 250
+HIDDEN_HOSTS = 100
 
 SERVICES = ("filings", "drafts")
 ZONES = ("manila", "baguio", "davao", "cagayan")
@@ -81,7 +54,7 @@
 [zones]
 {zones}
 [listenAddrs]
-inbound = "{host}:{inbound_port}"
+inbound = "{peers_host}:{inbound_port}"
 outbound = "{host}:{outbound_port}"
 ready = "{host}:{ready_port}"
 [bounds]
@@ -94,120 +67,6 @@
 """
 
 
-class TargetRun:
-    """One execution at a target; ``cancel`` ends it because its node closed the connection."""
-
-    def __init__(self, target: "SoakTarget", request: HttpRequest, respond: ResponseCallback):
-        self.target = target
-        self.request = request
-        self.respond = respond
-        self.request_id = header_of(request, b"x-attempt-id")
-        self.position = len(target.fleet.record["executions"])
-        target.fleet.record["executions"].append(
-            Execution(
-                self.request_id,
-                target.node,
-                target.fleet.service(target.node),
-                target.incarnation,
-                target.fleet.now(),
-                STILL_RUNNING,
-            )
-        )
-        self.task = asyncio.get_running_loop().create_task(self._run())
-
-    async def _run(self) -> None:
-        _, _, work_ms, calls, _ = self.request.url.decode("ascii").split("/")
-        limit_s = int(header_of(self.request, b"x-deadline-ms")) / 1000
-        status = 200
-        try:
-            async with asyncio.timeout(limit_s):
-                await asyncio.sleep(int(work_ms) / 1000)
-                for number in range(int(calls)):
-                    if not await self.target.call(f"{self.request_id}.{number}"):
-                        status = STATUS_ERROR
-        except TimeoutError:
-            status = STATUS_TIMEOUT
-        self._record_end()
-        self.respond(self.target.response(self.request, status))
-
-    def cancel(self) -> None:
-        """End the execution."""
-        self.task.cancel()
-        self._record_end()
-
-    def _record_end(self) -> None:
-        executions = self.target.fleet.record["executions"]
-        execution = executions[self.position]
-        executions[self.position] = execution._replace(ended_at=self.target.fleet.now())
-
-
-class SoakTarget:
-    """A target that runs requests for the time in their path, and makes calls of its own."""
-
-    def __init__(self, fleet: "SoakFleet", node: int) -> None:
-        self.fleet = fleet
-        self.node = node
-        self.incarnation = f"i-{node}-{fleet.random.getrandbits(32):08x}"
-        self.state = "ready"
-        self.born_ms = int(time.time() * 1000)
-        self.sequence = 0
-        self.port = CallerServer(self.serve, LIMITS)
-        self.is_published = True
-
-    def publish(self) -> None:
-        """Write the target's entry."""
-        self.sequence += 1
-        self.fleet.store.put(
-            f"servers/{self.incarnation}",
-            {
-                "service": self.fleet.service(self.node),
-                "address": f"{self.fleet.host(self.node)}:{TARGET_PORT}",
-                "zone": self.fleet.zone(self.node),
-                "version": "v1",
-                "concurrency": 60,
-                "state": self.state,
-                "warmupLeft": "0ms",
-                "sequence": self.sequence,
-                "born": self.born_ms,
-            },
-        )
-
-    def serve(self, request: HttpRequest, respond: ResponseCallback) -> RequestHandle | None:
-        """Run one request, unless it is addressed to another incarnation."""
-        if header_of(request, b"x-expected-instance") not in ("", self.incarnation):
-            respond(HttpResponse(421, request_id_header(request), b""))
-            return None
-        return TargetRun(self, request, respond)
-
-    def response(self, request: HttpRequest, status: int) -> HttpResponse:
-        """Return the sealed response to a request."""
-        request_id = header_of(request, b"x-attempt-id")
-        lines = request_id_header(request) + (
-            f"X-Response-Seal: {self.incarnation}.{request_id}\r\n"
-        ).encode("ascii")
-        return HttpResponse(status, lines, response_body(self.incarnation, request_id))
-
-    async def call(self, request_id: str) -> bool:
-        """Make one call through the node of this target; return whether it succeeded."""
-        caller = CallerStandIn()
-        try:
-            await caller.connect(*self.fleet.callers_address(self.node))
-        except OSError:
-            return False
-        result = await caller.send_request(
-            f"/lookup/{CALL_WORK_MS}/0/",
-            request_id,
-            host=HOST_HEADER,
-            header_lines="X-Deadline-Ms: 1000\r\nConnection: close\r\n",
-        )
-        return not isinstance(result, BrokenExchange) and result.status == 200
-
-
-def response_body(incarnation: str, request_id: str) -> bytes:
-    """Return the body that belongs to a request."""
-    return f"{incarnation} ran {request_id}\n".encode("ascii") * 20
-
-
 class SoakFleet:
     """The processes and stand-ins of one run, and what they record."""
 
@@ -215,6 +74,7 @@
         self.plan = plan
         self.folder = folder
         self.random = Random(plan.seed)
+        self.work_ms = plan.clients.work_ms
         self.record = new_record()
         self.stopping = asyncio.Event()
         self.connections: WeakSet[asyncio.StreamWriter] = WeakSet()
@@ -225,6 +85,9 @@
         self.stops: set[int] = set()
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 1
+        # In front of the ports for peers, and of the store as each node sees it.
+        self.peer_proxies: dict[int, LinkProxy] = {}
+        self.store_proxies: dict[int, LinkProxy] = {}
         # Runs side by side have different addresses.
         self.network = f"127.{os.getpid() % 200 + 20}.{plan.seed % 250 + 1}"
 
@@ -236,6 +99,23 @@
         """Return the address of a node's VM."""
         return f"{self.network}.{node}"
 
+    def hidden_host(self, node: int) -> str:
+        """Return the address behind the proxies of a node."""
+        return self.host(HIDDEN_HOSTS + node)
+
+    def peers_host(self, node: int) -> str:
+        """Return the address at which a node accepts peers."""
+        return self.hidden_host(node) if self.plan.has_proxies else self.host(node)
+
+    def store_address(self, node: int) -> tuple[str, int]:
+        """Return the address at which a node reads the store."""
+        host = self.hidden_host(node) if self.plan.has_proxies else self.host(STORE_HOST)
+        return host, STORE_PORT
+
+    def target_address(self, node: int) -> tuple[str, int]:
+        """Return the address of a node's target."""
+        return self.host(node), TARGET_PORT
+
     def callers_address(self, node: int) -> tuple[str, int]:
         """Return the address to which a node's clients connect."""
         return self.host(node), OUTBOUND_PORT
@@ -306,11 +186,13 @@
 
     async def start(self) -> None:
         """Start the store, the targets and the nodes, and wait until all nodes are ready."""
-        await self.store.port.listen(self.host(250), STORE_PORT)
+        await self.store.port.listen(self.host(STORE_HOST), STORE_PORT)
         self.publish_manifest()
         for node in range(1, self.plan.nodes + 1):
             await self.add_target(node)
         for node in range(1, self.plan.nodes + 1):
+            if self.plan.has_proxies:
+                await self._add_proxies(node)
             await self.start_node(node)
         self.keep(self._heartbeats())
         self.keep(self._check_readiness())
@@ -318,6 +200,15 @@
             while any(self.misses.get(node, 1) for node in self.processes):
                 await asyncio.sleep(0.1)
 
+    async def _add_proxies(self, node: int) -> None:
+        delay_s = self.plan.link_delay_s
+        peers = LinkProxy((self.hidden_host(node), INBOUND_PORT), delay_s)
+        await peers.listen(self.host(node), INBOUND_PORT)
+        self.peer_proxies[node] = peers
+        store = LinkProxy((self.host(STORE_HOST), STORE_PORT), delay_s)
+        await store.listen(*self.store_address(node))
+        self.store_proxies[node] = store
+
     def keep(self, coroutine: Any) -> None:
         """Run a coroutine in the background until the end of the run."""
         self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
@@ -325,7 +216,7 @@
     async def add_target(self, node: int) -> None:
         """Start a target on a VM, and publish its entry."""
         target = SoakTarget(self, node)
-        await target.port.listen(self.host(node), TARGET_PORT)
+        await target.port.listen(*self.target_address(node))
         target.publish()
         self.targets[node] = target
 
@@ -350,6 +241,7 @@
             node=node,
             grace_s=GRACE_S,
             host=self.host(node),
+            peers_host=self.peers_host(node),
             zone=self.zone(node),
             service=self.service(node),
             zones="\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items()),
@@ -357,7 +249,7 @@
             inbound_port=INBOUND_PORT,
             outbound_port=OUTBOUND_PORT,
             ready_port=READY_PORT,
-            store=f"{self.host(250)}:{STORE_PORT}",
+            store="{}:{}".format(*self.store_address(node)),
         )
 
     async def _watch_exit(self, node: int, process: asyncio.subprocess.Process) -> None:
@@ -416,106 +308,7 @@
         for port in [self.store.port, *(target.port for target in self.targets.values())]:
             port.close_listener()
             port.abort_all()
+        for proxy in (*self.peer_proxies.values(), *self.store_proxies.values()):
+            proxy.close()
         # The event loop reports the end of each aborted connection.
         await asyncio.sleep(0.1)
-
-
-@singledispatch
-async def execute(action: object, fleet: SoakFleet) -> None:
-    """Execute one action of the plan."""
-    raise NotImplementedError(f"no execution for {type(action).__name__}; register one")
-
-
-@execute.register
-async def _(action: StopNode, fleet: SoakFleet) -> None:
-    if action.node in fleet.stops:
-        return
-    process = fleet.processes[action.node]
-    fleet.stops.add(action.node)
-    fleet.disturb(action.node, "stop", is_planned=True)
-    process.terminate()
-    try:
-        async with asyncio.timeout(GRACE_S):
-            await process.wait()
-    except TimeoutError:
-        fleet.record["unexpected_exits"].append(f"node {action.node} outlived its grace period")
-        process.kill()
-        await process.wait()
-    await fleet.start_node(action.node)
-    fleet.stops.discard(action.node)
-
-
-@execute.register
-async def _(action: KillNode, fleet: SoakFleet) -> None:
-    if action.node in fleet.stops:
-        return
-    fleet.stops.add(action.node)
-    fleet.disturb(action.node, "kill", is_planned=False)
-    fleet.processes[action.node].kill()
-    await fleet.processes[action.node].wait()
-    await fleet.start_node(action.node)
-    fleet.stops.discard(action.node)
-
-
-@execute.register
-async def _(action: FreezeNode, fleet: SoakFleet) -> None:
-    if action.node in fleet.stops:
-        return
-    fleet.stops.add(action.node)
-    fleet.disturb(action.node, "freeze", is_planned=False)
-    fleet.processes[action.node].send_signal(signal.SIGSTOP)
-    await asyncio.sleep(action.for_s)
-    fleet.processes[action.node].send_signal(signal.SIGCONT)
-    fleet.disturb(action.node, "wake", is_planned=False)
-    fleet.stops.discard(action.node)
-
-
-@execute.register
-async def _(action: ReloadNode, fleet: SoakFleet) -> None:
-    if action.node not in fleet.stops:
-        fleet.processes[action.node].send_signal(signal.SIGHUP)
-
-
-@execute.register
-async def _(action: PublishManifest, fleet: SoakFleet) -> None:
-    fleet.publish_manifest()
-
-
-@execute.register
-async def _(action: ReplaceTarget, fleet: SoakFleet) -> None:
-    target = fleet.targets[action.node]
-    if not target.is_published or target.state != "ready":
-        return
-    key = f"servers/{target.incarnation}"
-    if action.announces:
-        target.state = "draining"
-        target.publish()
-    else:
-        target.is_published = False
-        fleet.store.delete(key)
-    fleet.record["departures"].append(Departure(target.incarnation, fleet.now()))
-    await asyncio.sleep(SERVES_ON_S)
-    target.is_published = False
-    if action.announces:
-        fleet.store.delete(key)
-    target.port.close_listener()
-    # It ends once its last request has ended.
-    while any(connection.pending for connection in target.port.connections):
-        await asyncio.sleep(0.05)
-    target.port.abort_all()
-    await fleet.add_target(action.node)
-
-
-@execute.register
-async def _(action: CutWatches, fleet: SoakFleet) -> None:
-    for connection in list(fleet.store.port.connections):
-        connection.abort()
-
-
-@execute.register
-async def _(action: StoreOutage, fleet: SoakFleet) -> None:
-    fleet.disturb(0, "store outage", is_planned=False)
-    fleet.store.status = 503
-    await asyncio.sleep(action.for_s)
-    fleet.store.status = 200
-    fleet.disturb(0, "store return", is_planned=False)
--- a/src/jacinthsail/testing/soak_model.py
+++ b/src/jacinthsail/testing/soak_model.py
@@ -157,6 +157,52 @@
     for_s: float
 
 
+class RemoveVm(NamedTuple):
+    """A target leaves and ends, then its node is stopped; both are started again."""
+
+    at: float
+    node: int
+
+
+class ResetLinks(NamedTuple):
+    """All connections of peers to a node are reset."""
+
+    at: float
+    node: int
+
+
+class SilenceLinks(NamedTuple):
+    """The open connections of peers to a node carry nothing any more; new ones work."""
+
+    at: float
+    node: int
+
+
+class HoldLinks(NamedTuple):
+    """Bytes between a node and the peers that call it are held for ``for_s``, in one direction."""
+
+    at: float
+    node: int
+    for_s: float
+    to_node: bool
+
+
+class HoldStore(NamedTuple):
+    """What the store sends to a node is held for ``for_s``."""
+
+    at: float
+    node: int
+    for_s: float
+
+
+class BreakResponses(NamedTuple):
+    """A target spoils some of its responses for ``for_s``."""
+
+    at: float
+    node: int
+    for_s: float
+
+
 Action = (
     StopNode
     | KillNode
@@ -166,27 +212,43 @@
     | ReplaceTarget
     | CutWatches
     | StoreOutage
+    | RemoveVm
+    | ResetLinks
+    | SilenceLinks
+    | HoldLinks
+    | HoldStore
+    | BreakResponses
 )
 
 
 class ClientMix(NamedTuple):
-    """The numbers of clients at each node, by the way in which they send."""
+    """The numbers of clients at each node, by the way in which they send.
+
+    ``work_ms`` holds the times that a target works on a request, of which clients choose one.
+    """
 
     kept: int
     leaving: int
     pipelining: int
     slow_body: int
     readiness_ignoring: int
+    work_ms: tuple[int, ...]
 
 
 class SoakPlan(NamedTuple):
-    """One run: the nodes, the clients at each of them, and the actions in the order of time."""
+    """One run: the nodes, the clients at each of them, and the actions in the order of time.
+
+    With ``has_proxies`` set, peers and the store are reached through proxies that add
+    ``link_delay_s`` each way.
+    """
 
     seed: int
     nodes: int
     clients: ClientMix
     length_s: float
     actions: tuple[Action, ...]
+    has_proxies: bool
+    link_delay_s: float
 
 
 def new_record() -> SoakRecord:
--- a/tests/fast/test_soak_checks.py
+++ b/tests/fast/test_soak_checks.py
@@ -118,3 +118,13 @@
                 later - earlier < 6.0 for earlier, later in zip(stops, stops[1:], strict=False)
             )
         self.assertGreater(overlapping, 15)
+
+    def test_proxies_add_actions_to_those_of_the_seed(self):
+        """A seed that failed once would no longer repeat the same work."""
+        for with_faults in (False, True):
+            plan = draw_plan(301, 8, 20.0, with_faults)
+            extended = draw_plan(301, 8, 20.0, with_faults, with_proxies=True)
+            self.assertLess(set(plan.actions), set(extended.actions))
+            self.assertEqual(
+                extended.actions, tuple(sorted(extended.actions, key=lambda one: one.at))
+            )
--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -16,8 +16,8 @@
 
 
 class SoakTest(unittest.TestCase):
-    def assert_held(self, seed, with_faults, length_s=LENGTH_S):
-        plan = draw_plan(seed, NODES, length_s, with_faults)
+    def assert_held(self, seed, with_faults, length_s=LENGTH_S, with_proxies=False):
+        plan = draw_plan(seed, NODES, length_s, with_faults, with_proxies)
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
         self.assertGreater(len(record["attempts"]), 1000)
@@ -37,3 +37,11 @@
     def test_faults(self):
         """Killed and frozen nodes, cut watches and an outage of the store, beside planned work."""
         self.assert_held(101, with_faults=True)
+
+    def test_planned_work_over_delayed_links(self):
+        """Messages cross on their way, VMs are removed, and requests last until a stop ends."""
+        self.assert_held(801, with_faults=False, with_proxies=True)
+
+    def test_faults_of_links_and_responses(self):
+        """Connections are reset, silenced and held one way, and targets spoil responses."""
+        self.assert_held(850, with_faults=True, with_proxies=True)
