Refuse charges that may outlast a stopping node

Callers of one node got 502 for a filing that its target went on to run. The node of its caller had got SIGTERM meanwhile, so the request counts as lost around that stop.

Cause: for 2.1 s after SIGTERM a node took every request for its target, also one that could not end before the process does.

Change: from SIGTERM on, the queue knows when requests are cut. A request that must not be repeated is refused as not run if six times the mean duration of its kind, or all of its remaining time, reaches beyond that. It is then sent to another node. Others are served as before.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -36,6 +36,7 @@
 from jacinthsail.internal.commands.store_reading import remove_unconfirmed_targets
 from jacinthsail.internal.commands.target_queue import (
     set_blocked,
+    set_end,
     set_slots,
     set_target_draining,
     stop_accepting_requests,
@@ -280,6 +281,7 @@
         _LOG.info("stop requested; %d requests in progress", len(self.router.open_requests))
         self.is_draining = True
         self.callers_port.is_closing = True
+        set_end(self.target_queue, schedule.cuts_at)
         await asyncio.sleep(max(0.0, schedule.target_refuses_at - loop.time()))
         stop_accepting_requests(self.target_queue)
         self.links.announce_draining()
--- a/src/jacinthsail/internal/commands/target_queue.py
+++ b/src/jacinthsail/internal/commands/target_queue.py
@@ -116,6 +116,11 @@
     queue["blocked"] = blocked
 
 
+def set_end(queue: TargetQueue, ends_at: float) -> None:
+    """Set when the requests in flight are cut because this node stops."""
+    queue["ends_at"] = ends_at
+
+
 def stop_accepting_requests(queue: TargetQueue) -> None:
     """Reject all new requests because this node is stopping."""
     queue["stopped"] = True
--- a/src/jacinthsail/internal/model/target_queue.py
+++ b/src/jacinthsail/internal/model/target_queue.py
@@ -56,7 +56,8 @@
 
     ``waiting_by_ticket`` holds the queued ones. ``draining`` is the published state of the target,
     and ``stopped`` is set once this node stops. ``blocked`` is set while this node cannot route the
-    nested calls that the target makes.
+    nested calls that the target makes. Requests still in flight at ``ends_at``, a time of the event
+    loop's clock, are cut; it is infinite unless this node is stopping.
     """
 
     slots: int
@@ -67,6 +68,7 @@
     draining: bool
     blocked: bool
     stopped: bool
+    ends_at: float
 
 
 class StartRequest(NamedTuple):
--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -71,6 +71,10 @@
 OVERDUE_FACTOR = 7.0
 MIN_OVERDUE_S = 0.15
 
+# A request that must not be repeated is lost if its node stops before it ends. Only durations up to
+# this many times the mean are usual.
+USUAL_DURATION_FACTOR = 6.0
+
 # The mean duration is reliable only after this many responses. Before that, every request to a cold
 # target would count as overdue.
 MIN_RESPONSES = 60
@@ -108,6 +112,7 @@
         draining=False,
         blocked=False,
         stopped=False,
+        ends_at=float("inf"),
     )
 
 
@@ -145,15 +150,31 @@
         return RejectRequest(Reason.NOT_READY, MIN_RETRY_AFTER_S)
     kind = work_kind(forwarded.rank)
     work_queue = queue["work_queues"][kind]
-    if has_free_slot(queue, work_queue) and not work_queue["waiting"]:
+    starts_at_once = has_free_slot(queue, work_queue) and not work_queue["waiting"]
+    wait_s = 0.0 if starts_at_once else expected_wait_for_rank_s(queue, forwarded.rank)
+    if may_outlast_node(queue, forwarded, now + wait_s):
+        return RejectRequest(Reason.DEADLINE_TOO_SHORT, MIN_RETRY_AFTER_S)
+    if starts_at_once:
         return StartRequest()
     if len(queue["waiting_by_ticket"]) >= MAX_WAITING_PER_SLOT * queue["slots"]:
         return RejectRequest(Reason.QUEUE_FULL, retry_after_s(queue, work_queue))
-    if expected_wait_for_rank_s(queue, forwarded.rank) > forwarded.max_queue_wait_s:
+    if wait_s > forwarded.max_queue_wait_s:
         return RejectRequest(Reason.QUEUE_FULL, retry_after_s(queue, work_queue))
     return QueueRequest(now + forwarded.max_queue_wait_s)
 
 
+def may_outlast_node(queue: TargetQueue, forwarded: ForwardedRequest, starts_at: float) -> bool:
+    """Return whether a request that must not be repeated may still run when this node ends.
+
+    Other nodes are still running, and can serve it to its end.
+    """
+    if forwarded.repeatable or queue["ends_at"] == math.inf:
+        return False
+    work_queue = queue["work_queues"][work_kind(forwarded.rank)]
+    longest_s = min(forwarded.remaining_s, USUAL_DURATION_FACTOR * work_queue["mean_duration_s"])
+    return starts_at + longest_s > queue["ends_at"]
+
+
 def has_free_slot(queue: TargetQueue, work_queue: WorkQueue) -> bool:
     """Return whether the slots and the limit of a work queue allow one more request in flight."""
     return queue["in_flight"] < queue["slots"] and work_queue["in_flight"] < int(
--- a/tests/fast/test_target_queue.py
+++ b/tests/fast/test_target_queue.py
@@ -12,6 +12,7 @@
     record_request_start,
     record_shed,
     remove_waiting_request,
+    set_end,
     set_target_draining,
 )
 from jacinthsail.internal.model.calls import Reason
@@ -53,6 +54,33 @@
     return queue
 
 
+class StoppingNodeTest(unittest.TestCase):
+    def decide(self, now, repeatable=False, remaining_s=5.0, mean_duration_s=0.7):
+        queue = target_queue(2, mean_duration_s)
+        set_end(queue, 105.25)
+        request = forwarded(rank=2)._replace(repeatable=repeatable, remaining_s=remaining_s)
+        return decide_queueing(queue, request, now)
+
+    def test_charge_that_may_outlast_the_node_is_refused(self):
+        """It ran at the target of a stopping node, and was cut when the process ended."""
+        self.assertIsInstance(self.decide(101.7), RejectRequest)
+        self.assertIsInstance(self.decide(100.5), StartRequest)
+
+    def test_request_that_ends_in_time_is_served(self):
+        """A stopping node would leave its target idle for longer than its restart takes."""
+        self.assertIsInstance(self.decide(101.7, mean_duration_s=0.2), StartRequest)
+        self.assertIsInstance(self.decide(101.7, remaining_s=3.0), StartRequest)
+
+    def test_lookup_is_served_until_the_target_refuses(self):
+        """It is sent elsewhere if it is cut."""
+        self.assertIsInstance(self.decide(101.7, repeatable=True), StartRequest)
+
+    def test_node_that_does_not_stop_refuses_nothing(self):
+        queue = target_queue(2, 100.0)
+        request = forwarded(rank=2)._replace(repeatable=False, remaining_s=500.0)
+        self.assertIsInstance(decide_queueing(queue, request, 101.7), StartRequest)
+
+
 class TargetQueueTest(unittest.TestCase):
     def test_free_slot_starts_at_once(self):
         """A request must not wait while a slot is free."""
