Send nothing more to a local target that has left

The users saw 14 requests reach back ends that had said they were leaving. Two paths to that are shown here; which of them, if any, theirs took is not known.

Cause: a node learned from the published "draining" state that its own target leaves. Some targets never report it; their entry is removed. The node then went on to start the requests that waited for a slot, up to three quarters of their time later. And at a target that was draining, a request whose response was overdue, or that had been refused, was sent once more.

Change: a target whose entry was listed and is removed counts as leaving, and a leaving target gets no second attempt.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -47,6 +47,7 @@
 from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.messages import Hello
 from jacinthsail.internal.queries.fleet_view import (
+    is_leaving,
     local_target,
     new_fleet,
     target_count,
@@ -111,6 +112,7 @@
         incarnation = uuid4().hex
         self.is_draining = False
         self.has_finished = False
+        self.was_target_listed = False
         self.fleet = new_fleet(settings.location, settings.heartbeat_s)
         self.reading = new_read_state()
         self.copy = new_store_copy()
@@ -194,10 +196,11 @@
         set_budget(self.retry_budget, budget.ratio, budget.window_s, budget.extra / targets)
         target = local_target(self.fleet, self.settings.location)
         if target is not None:
+            self.was_target_listed = True
             set_slots(self.target_queue, target.slots)
-        is_draining = target is not None and target.is_draining
+        is_draining = is_leaving(target, self.was_target_listed)
         if is_draining != self.target_queue["draining"]:
-            _LOG.info("local target %s", "is draining" if is_draining else "accepts requests again")
+            _LOG.info("local target %s", "is leaving" if is_draining else "accepts requests again")
             set_target_draining(self.target_queue, is_draining)
         if is_draining:
             self.local_target.refuse_all_queued(Reason.DRAINING)
--- a/src/jacinthsail/internal/adapters/local_target.py
+++ b/src/jacinthsail/internal/adapters/local_target.py
@@ -418,6 +418,8 @@
             return False
         if request.attempts >= MAX_ATTEMPTS or now + delay_s >= request.deadline:
             return False
+        if self.queue["draining"]:
+            return False
         record_retry_demand(self.retry_budget, RetryKind.NOT_EXECUTED, forwarded.rank, now)
         if not is_within_retry_budget(
             self.retry_budget, RetryKind.NOT_EXECUTED, forwarded.rank, False, now
--- a/src/jacinthsail/internal/model/target_queue.py
+++ b/src/jacinthsail/internal/model/target_queue.py
@@ -54,7 +54,7 @@
 class TargetQueue(TypedDict):
     """Requests that are queued for the local target or in flight at it.
 
-    ``waiting_by_ticket`` holds the queued ones. ``draining`` is the published state of the target,
+    ``waiting_by_ticket`` holds the queued ones. ``draining`` is set while the target leaves,
     and ``stopped`` is set once this node stops. ``blocked`` is set while this node cannot route the
     nested calls that the target makes. Requests still in flight at ``ends_at``, a time of the event
     loop's clock, are cut; it is infinite unless this node is stopping.
--- a/src/jacinthsail/internal/queries/fleet_view.py
+++ b/src/jacinthsail/internal/queries/fleet_view.py
@@ -136,6 +136,15 @@
     return found
 
 
+def is_leaving(target: TargetEntry | None, was_listed: bool) -> bool:
+    """Return whether the local target gets no more requests, given its newest entry.
+
+    Some targets never report that they are draining; their entry is removed. Before the first entry
+    of a target, its node has just started.
+    """
+    return was_listed if target is None else target.is_draining
+
+
 def manifest_version(fleet: FleetState) -> int:
     """Return the version of the manifest in force, or 0 if there is none yet."""
     manifest = fleet["manifest"]
--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -303,6 +303,9 @@
     work_queue = queue["work_queues"][work_kind(forwarded.rank)]
     if not forwarded.repeatable or work_queue["response_count"] < MIN_RESPONSES:
         return False
+    if queue["draining"]:
+        # The retry would reach a target that gets no more requests.
+        return False
     mean_duration_s = work_queue["mean_duration_s"]
     if now - started_at < max(MIN_OVERDUE_S, OVERDUE_FACTOR * mean_duration_s):
         return False
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -339,6 +339,32 @@
                 )
             self.assertEqual(len(testbed.targets[2].executions), before)
 
+    async def test_queued_request_is_not_sent_to_a_target_whose_entry_was_removed(self):
+        """It reached the target after the target had left, when a slot became free."""
+        responses = []
+
+        def respond_on_demand(target, request, respond):
+            responses.append(lambda: respond(target.response_to(request)))
+
+        async with PlatformTestbed() as testbed:
+            # Requests of this route may wait for 2 s.
+            testbed.store.put("op/config", manifest(2, [{**ROUTE, "targetLatency": "4000ms"}]))
+            caller = await self.fleet(testbed, respond_on_demand)
+            testbed.publish(2, slots=1)
+            node = testbed.nodes[2]
+            await testbed.wait_until(lambda: node.target_queue["slots"] == 1)
+            first = asyncio.ensure_future(caller.send_request("/lookup/x", "r-1"))
+            await testbed.wait_until(lambda: responses)
+            other = await testbed.caller(2)
+            queued = asyncio.ensure_future(other.send_request("/lookup/x", "r-2"))
+            await testbed.wait_until(lambda: node.target_queue["waiting_by_ticket"])
+            testbed.store.delete("servers/i-2")
+            await testbed.wait_until(lambda: not node.fleet["targets"])
+            responses[0]()
+            self.assertEqual((await first).status, 200)
+            self.assertEqual((await queued).status, 503)
+            self.assertEqual(len(testbed.targets[2].executions), 1)
+
     async def test_request_for_a_replaced_target_is_not_executed_at_the_same_address(self):
         """A request would be executed by a service that its route does not contain."""
         async with PlatformTestbed() as testbed:
--- a/tests/fast/test_target_queue.py
+++ b/tests/fast/test_target_queue.py
@@ -244,6 +244,15 @@
             record_duration(queue, forwarded(rank=2), 0.3, number * 0.01)
         self.assertFalse(is_response_overdue(queue, forwarded(rank=2), 0.0, 9.0, 1.0))
 
+    def test_leaving_target_gets_no_second_attempt(self):
+        """A retry after an overdue response reached the target seconds after it had left."""
+        queue = target_queue(mean_duration_s=0.03)
+        for number in range(60):
+            record_duration(queue, forwarded(rank=2), 0.03, number * 0.01)
+        self.assertTrue(is_response_overdue(queue, forwarded(rank=2), 0.0, 9.0, 3.0))
+        set_target_draining(queue, True)
+        self.assertFalse(is_response_overdue(queue, forwarded(rank=2), 0.0, 9.0, 3.0))
+
     def test_no_response_is_overdue_before_the_mean_duration_is_known(self):
         """After a restart, every request would be executed twice while the targets are cold."""
         queue = target_queue(mean_duration_s=0.03)
