--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -48,10 +48,14 @@
 
 
 class BrokenExchange(NamedTuple):
-    """An exchange without a complete response; ``request_sent`` is set once bytes were sent."""
+    """An exchange without a complete response; ``request_sent`` is set once bytes were sent.
+
+    ``is_too_large`` is set if the response had a larger body than is accepted.
+    """
 
     detail: str
     request_sent: bool
+    is_too_large: bool = False
 
 
 class HeldBytes(TypedDict):
@@ -213,7 +217,7 @@
         self.body_bytes += len(data)
         self.held["total"] += len(data)
         if self.body_bytes > MAX_RESPONSE_BYTES or self.held["total"] > MAX_HELD_BYTES:
-            self._fail("response body exceeds the maximum size")
+            self._fail("response body exceeds the maximum size", is_too_large=True)
             return
         self.body.append(data)
 
@@ -265,7 +269,7 @@
             self.on_idle(self)
         on_result(response)
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, detail: str, is_too_large: bool = False) -> None:
         on_result = self.on_result
         self.on_result = None
         self.in_message = False
@@ -274,7 +278,7 @@
         if self.transport is not None:
             self.transport.abort()
         if on_result is not None:
-            on_result(BrokenExchange(detail, True))
+            on_result(BrokenExchange(detail, True, is_too_large))
 
 
 def keep_alive_timeout_s(value: bytes) -> float | None:
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -16,6 +16,7 @@
 from jacinthsail.internal.commands.store_reading import apply_changes, record_response
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import (
+    ChangesTooLarge,
     HistoryCompacted,
     PublishedItem,
     ReadChanges,
@@ -221,6 +222,11 @@
         _LOG.warning("store is unavailable: %s", response.detail)
 
 
+@_log_response.register
+def _(response: ChangesTooLarge, failures: int) -> None:
+    _LOG.warning("the changes of the store exceed one response; reading a new snapshot")
+
+
 @_log_response.register
 def _(response: HistoryCompacted, failures: int) -> None:
     _LOG.info("store has discarded its change history; reading a new snapshot")
--- a/src/jacinthsail/internal/commands/store_reading.py
+++ b/src/jacinthsail/internal/commands/store_reading.py
@@ -13,6 +13,7 @@
 )
 from jacinthsail.internal.model.fleet import FleetState
 from jacinthsail.internal.model.store import (
+    ChangesTooLarge,
     HistoryCompacted,
     ManifestPublished,
     StoreChange,
@@ -51,6 +52,12 @@
     record_read(reading, fleet, now)
 
 
+@record_response.register
+def _(response: ChangesTooLarge, reading: StoreReadState, fleet: FleetState, now: float) -> None:
+    # A snapshot is read in pages.
+    reading["needs_snapshot"] = True
+
+
 @record_response.register
 def _(response: HistoryCompacted, reading: StoreReadState, fleet: FleetState, now: float) -> None:
     reading["needs_snapshot"] = True
--- a/src/jacinthsail/internal/model/store.py
+++ b/src/jacinthsail/internal/model/store.py
@@ -77,17 +77,23 @@
     """The store no longer has the history after the requested revision."""
 
 
+class ChangesTooLarge(NamedTuple):
+    """The changes after the requested revision do not fit into one response."""
+
+
 class StoreUnavailable(NamedTuple):
     """The store did not respond, or its response was an error status or cannot be decoded.
 
-    ``status`` is 0 unless the store responded with an error status.
+    ``status`` is 0 unless the store responded with an error status, and ``is_too_large`` is set if
+    the response exceeded the accepted size.
     """
 
     detail: str
     status: int = 0
+    is_too_large: bool = False
 
 
-StoreResponse = StoreUpdate | HistoryCompacted | StoreUnavailable
+StoreResponse = StoreUpdate | HistoryCompacted | ChangesTooLarge | StoreUnavailable
 
 
 class StoreCopy(TypedDict):
--- a/src/jacinthsail/platform/store.py
+++ b/src/jacinthsail/platform/store.py
@@ -18,6 +18,7 @@
 )
 from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.model.store import (
+    ChangesTooLarge,
     HistoryCompacted,
     ManifestPublished,
     PublishedItem,
@@ -97,6 +98,8 @@
         path = f"{names.WATCH_PATH}?prefix=&after={after}&waitMs={wait_ms}"
         response = await self._get(path, wait_s + RESPONSE_TIMEOUT_S)
         if isinstance(response, StoreUnavailable):
+            if response.is_too_large:
+                return ChangesTooLarge()
             return HistoryCompacted() if response.status == STATUS_HISTORY_GONE else response
         items: list[PublishedItem] = []
         try:
@@ -137,7 +140,7 @@
             self._abort_connection()
             return StoreUnavailable(type(error).__name__)
         if isinstance(result, BrokenExchange):
-            return StoreUnavailable(result.detail)
+            return StoreUnavailable(result.detail, is_too_large=result.is_too_large)
         if result.status != STATUS_OK:
             return StoreUnavailable(f"status {result.status}", result.status)
         try:
--- a/tests/fast/test_store_sharing.py
+++ b/tests/fast/test_store_sharing.py
@@ -15,6 +15,9 @@
 # Changes must be in force within this time after the store acknowledged them.
 APPLY_WITHIN_S = 2.0
 
+# Within this time readers recover from changes that they cannot read.
+RECOVERY_S = 20.0
+
 
 def freeze_links(node):
     """Stop reading and writing on all connections to peers, as if the process were frozen."""
@@ -135,6 +138,17 @@
                 held = sum(len(item.body) for item in node.copy["items"].values())
                 self.assertLess(held, 100_000)
 
+    async def test_changes_too_large_for_one_response_do_not_stop_the_readers(self):
+        """Each read of them failed until the store forgot its history."""
+        async with PlatformTestbed() as testbed:
+            await self.fleet(testbed)
+            for number in range(24):
+                testbed.store.put(f"servers/i-odd-{number}", b"[" * 1_000_000)
+            testbed.store.put("op/config", manifest(2))
+            async with asyncio.timeout(RECOVERY_S):
+                while any(node.fleet["manifest"].version != 2 for node in testbed.nodes.values()):
+                    await asyncio.sleep(0.05)
+
     async def test_unexpected_error_does_not_stop_the_followers(self):
         """One error in the code that applies a change would end the process, at every node."""
         async with PlatformTestbed() as testbed:
