Count no request as lost that the end of a soak run cuts

The node had stopped and was running again. A late RemoveVm keeps the run busy until its end, and the run then ends the processes.

Change: a pipelining client records nothing once the run has ended.

--- a/src/jacinthsail/testing/soak_clients.py
+++ b/src/jacinthsail/testing/soak_clients.py
@@ -315,6 +315,9 @@
                     waiting.clear()
                     return
         except (OSError, EOFError):
+            if context.stopping.is_set():
+                # The run itself ended the connection.
+                return
             while waiting:
                 record_end(context, node, waiting.popleft(), Ending.CUT, None)
         finally:
