Give up no request at a silent peer while the node stops

A caller got 502 for a lookup that its target went on to run.

Cause: a lookup at a silent peer is given up to be sent elsewhere. If that is not possible, its caller gets 502, and a stopping node refuses its retry.

Change: from SIGTERM on, a request that was sent to a silent peer waits for its response or its deadline, whatever its kind. The soak no longer ends with an error when a process exits as its grace period ends.

--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -284,6 +284,7 @@
         _LOG.info("stop requested; %d requests in progress", len(self.router.open_requests))
         self.is_draining = True
         self.callers_port.is_closing = True
+        self.links.is_stopping = True
         set_end(self.target_queue, schedule.cuts_at)
         await asyncio.sleep(max(0.0, schedule.target_refuses_at - loop.time()))
         stop_accepting_requests(self.target_queue)
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -277,7 +277,9 @@
         self.links.on_peer_silent(self.host)
         for request in in_flight:
             outcome = outcome_at_silent_peer(
-                request.forwarded.repeatable, connection.is_unsent(request.forward_id)
+                request.forwarded.repeatable,
+                connection.is_unsent(request.forward_id),
+                self.links.is_stopping,
             )
             if outcome is None:
                 continue
@@ -316,6 +318,7 @@
         self.inbound: dict[PeerConnection, dict[int, LocalRequest]] = {}
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.is_stopping = False
         self.is_draining = False
 
     async def listen(self, host: str) -> None:
--- a/src/jacinthsail/internal/queries/peer_silence.py
+++ b/src/jacinthsail/internal/queries/peer_silence.py
@@ -36,15 +36,18 @@
     return AwaitPong()
 
 
-def outcome_at_silent_peer(is_repeatable: bool, is_unsent: bool) -> NotRun | Unknown | None:
+def outcome_at_silent_peer(
+    is_repeatable: bool, is_unsent: bool, is_stopping: bool
+) -> NotRun | Unknown | None:
     """Return the outcome of a request whose peer went silent, or None to wait for the response.
 
     A peer that is paused or overloaded goes on later, and the target beside it has not stopped. A
     request that may be repeated is sent elsewhere, but one that must not be executed twice can only
-    be failed, and would then have run for nothing.
+    be failed, and would then have run for nothing. While this node stops, no request is given up,
+    because a retry may be refused and its caller has little time left to repeat it.
     """
     if is_unsent:
         return NotRun(Reason.PEER_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S)
-    if is_repeatable:
+    if is_repeatable and not is_stopping:
         return Unknown(Reason.CONNECTION_LOST, 0)
     return None
--- a/src/jacinthsail/testing/soak_actions.py
+++ b/src/jacinthsail/testing/soak_actions.py
@@ -53,7 +53,8 @@
             await process.wait()
     except TimeoutError:
         fleet.record["unexpected_exits"].append(f"node {node} outlived its grace period")
-        process.kill()
+        if process.returncode is None:
+            process.kill()
         await process.wait()
     await fleet.start_node(node)
     fleet.stops.discard(node)
