--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -16,8 +16,8 @@
 
 
 class SoakTest(unittest.TestCase):
-    def assert_held(self, seed, with_faults, length_s=LENGTH_S, with_proxies=False):
-        plan = draw_plan(seed, NODES, length_s, with_faults, with_proxies)
+    def assert_held(self, seed, with_faults, length_s=LENGTH_S, with_proxies=False, nodes=NODES):
+        plan = draw_plan(seed, nodes, length_s, with_faults, with_proxies)
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
         self.assertGreater(len(record["attempts"]), 1000)
@@ -45,3 +45,7 @@
     def test_faults_of_links_and_responses(self):
         """Connections are reset, silenced and held one way, and targets spoil responses."""
         self.assert_held(850, with_faults=True, with_proxies=True)
+
+    def test_requests_that_outlast_the_node_of_their_target(self):
+        """A filing of 3.4 s was cut with the node of its target, while its own node stopped."""
+        self.assert_held(1200, with_faults=False, length_s=LONG_S, with_proxies=True, nodes=10)
