Give the link to a peer a module of its own

The first is now peer_link.py; what it needs from its node is the protocol LinkOwner. Nothing else changes.

--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from jacinthsail.internal.adapters.connection import PeerConnection
-from jacinthsail.internal.adapters.peer_links import PeerLink, PeerLinks
+from jacinthsail.internal.adapters.peer_link import PeerLink
+from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.wire import encode_frame
 from jacinthsail.internal.commands.fleet import record_store_served
 from jacinthsail.internal.commands.store_sources import (
