--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -36,7 +36,7 @@
 from jacinthsail.internal.commands.store_reading import remove_unconfirmed_targets
 from jacinthsail.internal.commands.target_queue import (
     set_blocked,
-    set_end,
+    set_cut_time,
     set_slots,
     set_target_draining,
     stop_accepting_requests,
@@ -285,7 +285,7 @@
         self.is_draining = True
         self.callers_port.is_closing = True
         self.links.is_stopping = True
-        set_end(self.target_queue, schedule.cuts_at)
+        set_cut_time(self.target_queue, schedule.cuts_at)
         await asyncio.sleep(max(0.0, schedule.target_refuses_at - loop.time()))
         stop_accepting_requests(self.target_queue)
         self.links.announce_draining()
--- a/src/jacinthsail/internal/commands/target_queue.py
+++ b/src/jacinthsail/internal/commands/target_queue.py
@@ -116,9 +116,9 @@
     queue["blocked"] = blocked
 
 
-def set_end(queue: TargetQueue, ends_at: float) -> None:
+def set_cut_time(queue: TargetQueue, cut_at: float) -> None:
     """Set when the requests in flight are cut because this node stops."""
-    queue["ends_at"] = ends_at
+    queue["cut_at"] = cut_at
 
 
 def stop_accepting_requests(queue: TargetQueue) -> None:
--- a/src/jacinthsail/internal/model/target_queue.py
+++ b/src/jacinthsail/internal/model/target_queue.py
@@ -56,7 +56,7 @@
 
     ``waiting_by_ticket`` holds the queued ones. ``draining`` is set while the target leaves,
     and ``stopped`` is set once this node stops. ``blocked`` is set while this node cannot route the
-    nested calls that the target makes. Requests still in flight at ``ends_at``, a time of the event
+    nested calls that the target makes. Requests still in flight at ``cut_at``, a time of the event
     loop's clock, are cut; it is infinite unless this node is stopping.
     """
 
@@ -68,7 +68,7 @@
     draining: bool
     blocked: bool
     stopped: bool
-    ends_at: float
+    cut_at: float
 
 
 class StartRequest(NamedTuple):
--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -112,7 +112,7 @@
         draining=False,
         blocked=False,
         stopped=False,
-        ends_at=float("inf"),
+        cut_at=float("inf"),
     )
 
 
@@ -168,11 +168,11 @@
 
     Other nodes are still running, and can serve it to its end.
     """
-    if forwarded.repeatable or queue["ends_at"] == math.inf:
+    if forwarded.repeatable or queue["cut_at"] == math.inf:
         return False
     work_queue = queue["work_queues"][work_kind(forwarded.rank)]
     longest_s = min(forwarded.remaining_s, USUAL_DURATION_FACTOR * work_queue["mean_duration_s"])
-    return starts_at + longest_s > queue["ends_at"]
+    return starts_at + longest_s > queue["cut_at"]
 
 
 def has_free_slot(queue: TargetQueue, work_queue: WorkQueue) -> bool:
--- a/tests/fast/test_silent_peers.py
+++ b/tests/fast/test_silent_peers.py
@@ -42,6 +42,15 @@
     """Execute a request without an end."""
 
 
+async def start_lookup(testbed, behaviour):
+    """Start a lookup at the target behind node 2, and return it once it is executed."""
+    caller = await start_fleet(testbed)
+    testbed.targets[2].behaviour = behaviour
+    lookup = asyncio.ensure_future(caller.send_request("/lookup/x", "r-1"))
+    await testbed.wait_until(lambda: len(testbed.targets[2].executions) == 2)
+    return lookup
+
+
 class PausedPeer:
     """Keeps node 2 from reading and writing on its connections to peers, like a paused process."""
 
@@ -87,10 +96,7 @@
     async def test_lookup_of_a_stopping_node_waits_for_a_paused_peer(self):
         """The caller got 502 when no other target could take the lookup."""
         async with PlatformTestbed() as testbed:
-            caller = await start_fleet(testbed)
-            testbed.targets[2].behaviour = respond_while_paused
-            lookup = asyncio.ensure_future(caller.send_request("/lookup/x", "r-1"))
-            await testbed.wait_until(lambda: len(testbed.targets[2].executions) == 2)
+            lookup = await start_lookup(testbed, respond_while_paused)
             peer = PausedPeer(testbed)
             stopping = asyncio.ensure_future(testbed.nodes[1].stop())
             await asyncio.sleep(PAUSE_S)
@@ -102,10 +108,7 @@
     async def test_lookup_at_a_paused_peer_is_sent_elsewhere(self):
         """A lookup may be repeated, so it need not wait for the peer."""
         async with PlatformTestbed() as testbed:
-            caller = await start_fleet(testbed)
-            testbed.targets[2].behaviour = respond_never
-            lookup = asyncio.ensure_future(caller.send_request("/lookup/x", "r-1"))
-            await testbed.wait_until(lambda: len(testbed.targets[2].executions) == 2)
+            lookup = await start_lookup(testbed, respond_never)
             await testbed.add_target(3, TargetStandIn("i-3"))
             await testbed.add_node(3, service="seals")
             PausedPeer(testbed)
--- a/tests/fast/test_target_queue.py
+++ b/tests/fast/test_target_queue.py
@@ -12,7 +12,7 @@
     record_request_start,
     record_shed,
     remove_waiting_request,
-    set_end,
+    set_cut_time,
     set_target_draining,
 )
 from jacinthsail.internal.model.calls import Reason
@@ -57,7 +57,7 @@
 class StoppingNodeTest(unittest.TestCase):
     def decide(self, now, repeatable=False, remaining_s=5.0, mean_duration_s=0.7):
         queue = target_queue(2, mean_duration_s)
-        set_end(queue, 105.25)
+        set_cut_time(queue, 105.25)
         request = forwarded(rank=2)._replace(repeatable=repeatable, remaining_s=remaining_s)
         return decide_queueing(queue, request, now)
 
