--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -10,6 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from jacinthsail.errors import MalformedMessage
+from jacinthsail.internal.adapters.account_caps import AccountCaps
+from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.decision_log import log_request
 from jacinthsail.internal.adapters.http_server import (
     HttpRequest,
@@ -39,6 +41,7 @@
     record_send,
     record_target_refusal,
 )
+from jacinthsail.internal.model.accounts import Account, KeyCheck
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.fleet import (
     FleetState,
@@ -48,6 +51,7 @@
     SendToNode,
     TargetEntry,
 )
+from jacinthsail.internal.model.freshness import FreshnessState
 from jacinthsail.internal.model.lineage import LineageState
 from jacinthsail.internal.model.request_state import (
     AcceptRequest,
@@ -62,8 +66,20 @@
     ReturnResponse,
 )
 from jacinthsail.internal.model.retry_budget import RetryKind
-from jacinthsail.internal.model.statuses import STATUS_BAD_GATEWAY, STATUS_TIMEOUT
+from jacinthsail.internal.model.statuses import (
+    STATUS_BAD_GATEWAY,
+    STATUS_NOT_RUN,
+    STATUS_TIMEOUT,
+)
+from jacinthsail.internal.queries.accounts import (
+    RETRY_WITHOUT_PROOF_S,
+    effective_priority,
+    identify_account,
+    is_key_in_force,
+    is_store_recent,
+)
 from jacinthsail.internal.queries.fleet_view import manifest_version
+from jacinthsail.internal.queries.freshness import proves_keys
 from jacinthsail.internal.queries.lineage import arrival_rank, find_parent
 from jacinthsail.internal.queries.manifest_routes import decide_entry
 from jacinthsail.internal.queries.next_steps import (
@@ -98,8 +114,10 @@
     def parse_request_info(self, request: HttpRequest) -> Result[RequestInfo, MalformedMessage]:
         """Return the properties of a request that the routing decisions use."""
 
-    def head_lines(self, request: HttpRequest, caller_service: str) -> bytes:
-        """Return the header lines that are sent to the target."""
+    def head_lines(
+        self, request: HttpRequest, caller_service: str, account_name: str | None
+    ) -> bytes:
+        """Return the header lines that are sent to the target, with the name of the account."""
 
     def local_response_lines(
         self, request_info: RequestInfo | None, status: int, retry_after_s: float
@@ -119,9 +137,13 @@
         local_target: LocalTarget,
         links: PeerLinks,
         metrics: RequestMetrics,
+        freshness: FreshnessState,
+        caps: AccountCaps,
         random: Random,
     ) -> None:
         self.fleet = fleet
+        self.freshness = freshness
+        self.caps = caps
         self.lineage = lineage
         self.location = location
         self.dialect = dialect
@@ -153,8 +175,14 @@
     def _start(
         self, request: HttpRequest, request_info: RequestInfo, respond: ResponseCallback, now: float
     ) -> RequestHandle | None:
-        decision = decide_entry(self.fleet, request_info, now)
         parent = find_parent(self.lineage, request_info.parent_id)
+        decision = identify_account(
+            decide_entry(self.fleet, request_info, now),
+            self.fleet["manifest"],
+            request_info,
+            parent is not None,
+            self.check_keys(now),
+        )
         if self.ends_at is not None:
             is_nested = parent is not None
             decision = decide_entry_while_stopping(decision, is_nested, self.ends_at, now)
@@ -162,26 +190,64 @@
             if parent is not None and decision.reason is Reason.NOT_READY:
                 # Requests that the target runs now fail at their first nested call.
                 self.local_target.block_admission()
-            log_request(
-                "refused",
-                request_info.request_id,
-                decision.reason,
-                now,
-                status=decision.status,
-                parent="" if parent is None else parent["request_id"],
-            )
-            self.metrics.count("", decision.status, decision.reason, 0.0)
-            head_lines = self.dialect.local_response_lines(
-                request_info, decision.status, decision.retry_after_s
-            )
-            respond(HttpResponse(decision.status, head_lines, b""))
+            self.refuse(request_info, decision, respond, "", now)
             return None
-        advance_split(self.fleet, decision.route)
-        open_request = OpenRequest(self, request, request_info, decision, respond, now)
+        if decision.account is not None and decision.account.cap is not None:
+            capped = CappedRequest(self, request, request_info, decision, respond, now)
+            capped.token_wait = self.caps.acquire(decision.account, capped.on_token)
+            return capped
+        return self.open(request, request_info, decision, respond, now)
+
+    def open(
+        self,
+        request: HttpRequest,
+        request_info: RequestInfo,
+        accepted: AcceptRequest,
+        respond: ResponseCallback,
+        arrived_at: float,
+    ) -> RequestHandle:
+        """Send an accepted request to a target."""
+        advance_split(self.fleet, accepted.route)
+        open_request = OpenRequest(self, request, request_info, accepted, respond, arrived_at)
         self.open_requests.add(open_request)
-        open_request.send(now)
+        open_request.send(self.loop.time())
         return open_request
 
+    def refuse(
+        self,
+        request_info: RequestInfo,
+        refusal: RespondLocally,
+        respond: ResponseCallback,
+        account: str,
+        now: float,
+    ) -> None:
+        """Respond to a request that is not sent to any target."""
+        log_request(
+            "refused",
+            request_info.request_id,
+            refusal.reason,
+            now,
+            status=refusal.status,
+            parent=request_info.parent_id,
+            account=account,
+        )
+        self.metrics.count("", refusal.status, refusal.reason, 0.0)
+        head_lines = self.dialect.local_response_lines(
+            request_info, refusal.status, refusal.retry_after_s
+        )
+        respond(HttpResponse(refusal.status, head_lines, b""))
+
+    def check_keys(self, now: float) -> KeyCheck:
+        """Return how far the keys that this node knows can be relied on."""
+        return KeyCheck(proves_keys(self.freshness, boot_time()), is_store_recent(self.fleet, now))
+
+    def account_name(self, account: Account | None) -> str | None:
+        """Return the name to send to the target, or None if callers have no accounts."""
+        manifest = self.fleet["manifest"]
+        if manifest is None or manifest.accounts is None:
+            return None
+        return "" if account is None else account.name
+
     def record_local_load(self, incarnation: str, now: float) -> None:
         """Update the load of the target if it is the local one, which no peer reports."""
         target = self.fleet["targets"].get(incarnation)
@@ -189,6 +255,59 @@
             record_load(self.fleet, incarnation, load_report(self.local_target.queue), now)
 
 
+class CappedRequest:
+    """A request of an account with a cap, which waits for a token before it is sent."""
+
+    __slots__ = (
+        "entry",
+        "request",
+        "request_info",
+        "accepted",
+        "respond",
+        "arrived_at",
+        "token_wait",
+        "handle",
+    )
+
+    def __init__(
+        self,
+        entry: RequestRouter,
+        request: HttpRequest,
+        request_info: RequestInfo,
+        accepted: AcceptRequest,
+        respond: ResponseCallback,
+        arrived_at: float,
+    ) -> None:
+        self.entry = entry
+        self.request = request
+        self.request_info = request_info
+        self.accepted = accepted
+        self.respond = respond
+        self.arrived_at = arrived_at
+        self.token_wait: RequestHandle | None = None
+        self.handle: RequestHandle | None = None
+
+    def on_token(self, refusal: RespondLocally | None) -> None:
+        """Send the request if it has a token, and refuse it otherwise."""
+        if refusal is not None:
+            assert self.accepted.account is not None
+            now = self.entry.loop.time()
+            account = self.accepted.account.name
+            self.entry.refuse(self.request_info, refusal, self.respond, account, now)
+            return
+        self.handle = self.entry.open(
+            self.request, self.request_info, self.accepted, self.respond, self.arrived_at
+        )
+
+    def cancel(self) -> None:
+        """Abandon the request because its caller disconnected."""
+        if self.handle is not None:
+            self.handle.cancel()
+            return
+        if self.token_wait is not None:
+            self.token_wait.cancel()
+
+
 class OpenRequest:
     """A request of a caller that awaits its response.
 
@@ -196,7 +315,16 @@
     cancels the current attempt.
     """
 
-    __slots__ = ("entry", "request", "request_state", "respond", "handle", "timer", "head_lines")
+    __slots__ = (
+        "entry",
+        "request",
+        "accepted",
+        "request_state",
+        "respond",
+        "handle",
+        "timer",
+        "head_lines",
+    )
 
     def __init__(
         self,
@@ -209,7 +337,10 @@
     ) -> None:
         self.entry = entry
         self.request = request
-        self.head_lines = entry.dialect.head_lines(request, entry.location.service)
+        self.accepted = accepted
+        self.head_lines = entry.dialect.head_lines(
+            request, entry.location.service, entry.account_name(accepted.account)
+        )
         self.respond: Callable[[HttpResponse], None] | None = respond
         self.handle: RequestHandle | None = None
         parent = find_parent(entry.lineage, request_info.parent_id)
@@ -222,7 +353,7 @@
             arrived_at=now,
             deadline=accepted.deadline,
             excluded_targets=set(),
-            rank=arrival_rank(parent, accepted.route.priority),
+            rank=arrival_rank(parent, effective_priority(accepted.route, accepted.account)),
             parent_id="" if parent is None else parent["request_id"],
             attempted_targets=set(),
             target_refusals=0,
@@ -260,6 +391,15 @@
         if self.request_state["current_target"] == target.incarnation and self.respond is not None:
             self.handle = handle
 
+    def may_still_call(self, now: float) -> bool:
+        """Return whether the key of the request is still in force, before another attempt."""
+        if self.accepted.account is None:
+            return True
+        account_key = self.request_state["request_info"].account_key
+        if not is_key_in_force(self.entry.fleet["manifest"], self.accepted, account_key):
+            return False
+        return self.entry.check_keys(now).is_proven
+
     def _build_forwarded_request(self, target: TargetEntry, now: float) -> ForwardedRequest:
         request_state = self.request_state
         return ForwardedRequest(
@@ -311,6 +451,8 @@
         head_lines = self.entry.dialect.local_response_lines(
             self.request_state["request_info"], step.status, step.retry_after_s
         )
+        if step.status == STATUS_NOT_RUN and self.accepted.account is not None:
+            self.entry.caps.give_back(self.accepted.account)
         self.finish(HttpResponse(step.status, head_lines, b""), step.reason, now)
         if step.reason in CAPACITY_REASONS:
             self.mark_parent_shed()
@@ -449,6 +591,13 @@
         refusals=request_state["node_refusals"],
         left_ms=round((request_state["deadline"] - now) * 1000),
     )
+    if not open_request.may_still_call(now):
+        _apply_step(
+            step_after_not_run(Reason.KEYS_NOT_PROVEN, request_state, RETRY_WITHOUT_PROOF_S),
+            open_request,
+            now,
+        )
+        return
     record_retry_kind(request_state, step.retry_kind)
     open_request.send(now)
 
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from jacinthsail.errors import ConfigurationError, describe
+from jacinthsail.internal.adapters.account_caps import AccountCaps
 from jacinthsail.internal.adapters.entry import CallerDialect, RequestRouter
 from jacinthsail.internal.adapters.http_server import (
     SWEEP_INTERVAL_S,
@@ -32,6 +33,7 @@
     record_node_started,
     record_target_unreachable,
 )
+from jacinthsail.internal.commands.freshness import set_revocation
 from jacinthsail.internal.commands.retry_budget import set_budget
 from jacinthsail.internal.commands.store_reading import remove_unconfirmed_targets
 from jacinthsail.internal.commands.target_queue import (
@@ -53,6 +55,7 @@
     target_count,
     targets_on_host,
 )
+from jacinthsail.internal.queries.freshness import new_freshness
 from jacinthsail.internal.queries.retry_budget import new_retry_budget
 from jacinthsail.internal.queries.stopping import stop_schedule
 from jacinthsail.internal.queries.store_copy import new_store_copy
@@ -117,8 +120,14 @@
         self.reading = new_read_state()
         self.copy = new_store_copy()
         self.sources = new_store_sources()
+        self.freshness = new_freshness(settings.revocation_s)
         self.exchange = StoreExchange(
-            self.copy, self.reading, self.sources, self.fleet, Random(f"{incarnation} exchange")
+            self.copy,
+            self.reading,
+            self.sources,
+            self.fleet,
+            self.freshness,
+            Random(f"{incarnation} exchange"),
         )
         self.target_queue = new_target_queue(INITIAL_SLOTS)
         self.retry_budget = new_retry_budget()
@@ -143,6 +152,8 @@
             self._on_peer_silent,
             self.exchange,
         )
+        self.caps = AccountCaps(self.fleet, self.freshness, settings.caps, self.links)
+        self.links.caps = self.caps
         self.metrics = RequestMetrics()
         self.router = RequestRouter(
             self.fleet,
@@ -152,6 +163,8 @@
             self.local_target,
             self.links,
             self.metrics,
+            self.freshness,
+            self.caps,
             Random(incarnation),
         )
         self.callers_port = CallerServer(self.router.serve, INITIAL_LIMITS)
@@ -162,6 +175,7 @@
             self.reading,
             self.copy,
             self.fleet,
+            self.freshness,
             self.exchange,
             Random(f"{incarnation} store"),
             self.apply_published,
@@ -204,6 +218,7 @@
             set_target_draining(self.target_queue, is_draining)
         if is_draining:
             self.local_target.refuse_all_queued(Reason.DRAINING)
+        self.caps.published_changed()
         manifest = self.fleet["manifest"]
         if manifest is not None:
             set_blocked(self.target_queue, False)
@@ -242,6 +257,8 @@
                     return
                 self.settings = settings
                 self.router.location = settings.location
+                self.caps.settings = settings.caps
+                set_revocation(self.freshness, settings.revocation_s)
                 self.apply_published()
                 _LOG.info("settings reloaded; service %s", settings.location.service)
             case Failure(error):
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -224,7 +224,9 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
+        """Collect one header; trailers, which follow the body, are not passed on."""
+        if not self.in_head:
+            return
         if len(name) == 6 and name.lower() == b"expect":
             self.expects_continue = True
             return
--- a/src/jacinthsail/internal/adapters/messages.capnp
+++ b/src/jacinthsail/internal/adapters/messages.capnp
@@ -104,6 +104,7 @@
     pong @25 :Load;
     followStore :group {
       knownRevision @26 :UInt64;
+      knownEra @42 :UInt64;
     }
     unfollowStore @27 :Void;
     storeReport :group {
@@ -118,7 +119,33 @@
       recoveredAgoMs @33 :UInt32;
       # The largest value stands for "no successful read yet".
       readAgeMs @35 :UInt32 = 0xffffffff;
+      era @43 :UInt64;
     }
     connectionClosing @36 :Void;
+    # Sequence number of the probe.
+    freshnessProbe @37 :UInt64;
+    freshnessReply :group {
+      replySequence @38 :UInt64;
+      replyEra @39 :UInt64;
+      replyRevision @40 :UInt64;
+      # The largest value stands for "never read".
+      ageMs @41 :UInt32;
+    }
+    tokenRequest :group {
+      account @44 :Text;
+      wanted @45 :UInt32;
+      spare @46 :UInt32;
+      returned @47 :UInt32;
+    }
+    tokenGrant :group {
+      grantedAccount @48 :Text;
+      granted @49 :UInt32;
+      retryAfterMs @50 :UInt32;
+      status @51 :Text;
+    }
+    bucketTransfer :group {
+      movedAccount @52 :Text;
+      level @53 :Float64;
+    }
   }
 }
--- a/src/jacinthsail/internal/adapters/peer_link.py
+++ b/src/jacinthsail/internal/adapters/peer_link.py
@@ -15,17 +15,21 @@
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.messages import (
+    BucketTransfer,
     Cancel,
     ConnectionClosing,
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
+    FreshnessReply,
     Goodbye,
     Hello,
     Message,
     Ping,
     Pong,
     StoreReport,
+    TokenGrant,
+    TokenRequest,
     UnfollowStore,
 )
 from jacinthsail.internal.model.peer_silence import (
@@ -45,6 +49,9 @@
 # connection is frozen or unreachable.
 CONNECT_TIMEOUT_S = 0.6
 
+# Control messages that wait for a connection; a peer that accepts none is asked again later.
+MAX_WAITING_CONTROL = 256
+
 OnOutcome = Callable[[ForwardedOutcome], None]
 OnLoad = Callable[[str, LoadReport], None]
 PeerCallback = Callable[[str], None]
@@ -62,18 +69,37 @@
     def receive_report(self, host: str, report: StoreReport) -> None:
         """Handle a report from a peer that this node follows."""
 
-    def add_follower(self, connection: PeerConnection, known_revision: int) -> None:
+    def add_follower(self, connection: PeerConnection, known: FollowStore) -> None:
         """Send changes to a peer from now on."""
 
     def remove_follower(self, connection: PeerConnection) -> None:
         """Send no more changes to a peer."""
 
-    def reply_once(self, connection: PeerConnection, known_revision: int) -> None:
+    def reply_once(self, connection: PeerConnection, known: FollowStore) -> None:
         """Send the published items to a peer that cannot read the store."""
 
     def receive_first_copy(self, report: StoreReport) -> None:
         """Handle the published items from a peer that was asked for them."""
 
+    def reply_to_probe(self, connection: PeerConnection, sequence: int) -> None:
+        """State the age of this node's knowledge."""
+
+    def receive_probe_reply(self, host: str, reply: FreshnessReply) -> None:
+        """Handle the age of a peer's knowledge."""
+
+
+class CapExchange(Protocol):
+    """The exchange of tokens of accounts with peers."""
+
+    def answer(self, connection: PeerConnection, request: TokenRequest) -> None:
+        """Reply to a peer that asks for tokens."""
+
+    def receive_grant(self, message: TokenGrant) -> None:
+        """Handle the reply of the home of an account."""
+
+    def receive_transfer(self, transfer: BucketTransfer) -> None:
+        """Handle the last message of a former home."""
+
 
 class LinkOwner(Protocol):
     """What the link to a peer needs from its node."""
@@ -86,6 +112,7 @@
     on_peer_draining: PeerCallback
     on_peer_silent: PeerCallback
     sharing: StoreSharing
+    caps: CapExchange | None
     loop: asyncio.AbstractEventLoop
     is_stopping: bool
 
@@ -134,6 +161,7 @@
         self.is_handshake_done = False
         self.replaced: set[PeerConnection] = set()
         self.waiting: list[PendingPeerRequest] = []
+        self.waiting_control: list[Message] = []
         self.pending: dict[int, PendingPeerRequest] = {}
         self.task: asyncio.Task[None] | None = None
         self.next_id = 1
@@ -163,6 +191,19 @@
         if self.connection is not None and self.is_handshake_done:
             self.connection.send(message)
 
+    def send_when_open(self, message: Message) -> None:
+        """Send a message that needs no reply, and open the connection for it if necessary.
+
+        The message is dropped if the connection cannot be opened.
+        """
+        if self.connection is not None and self.is_handshake_done and self.connection.is_open():
+            self.connection.send(message)
+            return
+        if len(self.waiting_control) < MAX_WAITING_CONTROL:
+            self.waiting_control.append(message)
+        if self.task is None:
+            self.task = self.links.loop.create_task(self._connect())
+
     def _send_now(self, pending: PendingPeerRequest) -> None:
         assert self.connection is not None
         pending.forward_id = self.next_id
@@ -208,8 +249,12 @@
         for pending in waiting:
             if pending.on_outcome is not None:
                 self._send_now(pending)
+        control, self.waiting_control = self.waiting_control, []
+        for message in control:
+            self.send_control(message)
 
     def _reject_waiting(self) -> None:
+        self.waiting_control.clear()
         waiting, self.waiting = self.waiting, []
         for pending in waiting:
             pending.settle(NotRun(Reason.PEER_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
@@ -381,4 +426,15 @@
 
 @_handle_reply.register
 def _(message: FollowStore, link: PeerLink, connection: PeerConnection) -> None:
-    link.links.sharing.reply_once(connection, message.known_revision)
+    link.links.sharing.reply_once(connection, message)
+
+
+@_handle_reply.register
+def _(message: TokenGrant, link: PeerLink, connection: PeerConnection) -> None:
+    if link.links.caps is not None:
+        link.links.caps.receive_grant(message)
+
+
+@_handle_reply.register
+def _(message: FreshnessReply, link: PeerLink, connection: PeerConnection) -> None:
+    link.links.sharing.receive_probe_reply(link.host, message)
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -7,6 +7,7 @@
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.adapters.local_target import LocalRequest, LocalTarget
 from jacinthsail.internal.adapters.peer_link import (
+    CapExchange,
     OnLoad,
     OnOutcome,
     PeerCallback,
@@ -16,17 +17,20 @@
 )
 from jacinthsail.internal.model.calls import Reason, Unknown
 from jacinthsail.internal.model.messages import (
+    BucketTransfer,
     Cancel,
     ConnectionClosing,
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
+    FreshnessProbe,
     Goodbye,
     Hello,
     Message,
     Ping,
     Pong,
     StoreReport,
+    TokenRequest,
     UnfollowStore,
 )
 from jacinthsail.internal.model.peers import TrafficState
@@ -69,6 +73,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_stopping = False
         self.is_draining = False
+        self.caps: CapExchange | None = None
 
     async def listen(self, host: str) -> None:
         """Start to accept connections of peers."""
@@ -178,7 +183,24 @@
 
 @_handle_request.register
 def _(message: FollowStore, links: PeerLinks, connection: PeerConnection) -> None:
-    links.sharing.add_follower(connection, message.known_revision)
+    links.sharing.add_follower(connection, message)
+
+
+@_handle_request.register
+def _(message: TokenRequest, links: PeerLinks, connection: PeerConnection) -> None:
+    if links.caps is not None:
+        links.caps.answer(connection, message)
+
+
+@_handle_request.register
+def _(message: BucketTransfer, links: PeerLinks, connection: PeerConnection) -> None:
+    if links.caps is not None:
+        links.caps.receive_transfer(message)
+
+
+@_handle_request.register
+def _(message: FreshnessProbe, links: PeerLinks, connection: PeerConnection) -> None:
+    links.sharing.reply_to_probe(connection, message.sequence)
 
 
 @_handle_request.register
--- a/src/jacinthsail/internal/adapters/store_exchange.py
+++ b/src/jacinthsail/internal/adapters/store_exchange.py
@@ -5,11 +5,18 @@
 from collections.abc import Callable
 from random import Random
 
+from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.adapters.peer_link import PeerLink
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.wire import encode_frame
 from jacinthsail.internal.commands.fleet import record_store_served
+from jacinthsail.internal.commands.freshness import (
+    forget_probes,
+    record_knowledge,
+    record_probe,
+    record_probe_reply,
+)
 from jacinthsail.internal.commands.store_sources import (
     add_source,
     record_report,
@@ -20,10 +27,29 @@
     update_role,
 )
 from jacinthsail.internal.model.fleet import FleetState
-from jacinthsail.internal.model.messages import FollowStore, StoreReport, UnfollowStore
-from jacinthsail.internal.model.store import StoreCopy, StoreDelta, StoreReadState, StoreUpdate
+from jacinthsail.internal.model.freshness import FreshnessState
+from jacinthsail.internal.model.messages import (
+    FollowStore,
+    FreshnessProbe,
+    FreshnessReply,
+    StoreReport,
+    UnfollowStore,
+)
+from jacinthsail.internal.model.store import StoreCopy, StoreReadState, StoreUpdate
 from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
-from jacinthsail.internal.queries.store_copy import changes_since, follows, is_newer, is_plausible
+from jacinthsail.internal.queries.freshness import (
+    MAX_STATED_AGE_S,
+    is_probe_due,
+    knowledge_age_s,
+    proven_as_of,
+)
+from jacinthsail.internal.queries.store_copy import (
+    changes_since,
+    follows,
+    is_newer,
+    is_plausible,
+    no_changes,
+)
 from jacinthsail.internal.queries.store_reading import is_read_current, read_age_s
 from jacinthsail.internal.queries.store_sources import (
     REPORT_INTERVAL_S,
@@ -50,9 +76,11 @@
         reading: StoreReadState,
         sources: StoreSources,
         fleet: FleetState,
+        freshness: FreshnessState,
         random: Random,
     ) -> None:
         self.copy = copy
+        self.freshness = freshness
         self.reading = reading
         self.sources = sources
         self.fleet = fleet
@@ -86,7 +114,48 @@
         now = self.loop.time()
         is_current = is_read_current(self.reading, now)
         if now - self.reported_at >= REPORT_INTERVAL_S or is_current != self.reported_current:
-            self.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
+            self.report(no_changes(self.copy))
+        if self.needs_proof():
+            self._probe_sources()
+
+    def needs_proof(self) -> bool:
+        """Return whether this node has to prove how old its knowledge is."""
+        manifest = self.fleet["manifest"]
+        if self.freshness["revocation_s"] is None or manifest is None:
+            return False
+        return manifest.accounts is not None
+
+    def _probe_sources(self) -> None:
+        assert self.links is not None
+        boot_now = boot_time()
+        for host in self.sources["sources"]:
+            if is_probe_due(self.freshness, host, boot_now):
+                probe = FreshnessProbe(self.freshness["next_sequence"])
+                record_probe(self.freshness, host, boot_now)
+                self.links.link_to(host).send_control(probe)
+        forget_probes(self.freshness, frozenset(self.sources["sources"]))
+
+    def reply_to_probe(self, connection: PeerConnection, sequence: int) -> None:
+        """State the age of this node's knowledge to a node that follows it."""
+        age_s = knowledge_age_s(self.freshness, boot_time())
+        connection.send(
+            FreshnessReply(
+                sequence,
+                self.copy["era"],
+                self.copy["revision"],
+                age_s if age_s <= MAX_STATED_AGE_S else None,
+            )
+        )
+
+    def receive_probe_reply(self, host: str, reply: FreshnessReply) -> None:
+        """Take over the age that a source has proven, if this node knows as much as the source."""
+        record_probe_reply(self.freshness, host)
+        known = (self.copy["era"], self.copy["revision"])
+        if reply.age_s is None or (reply.era, reply.revision) > known:
+            return
+        as_of = proven_as_of(self.freshness, host, reply.sequence, reply.age_s)
+        if as_of is not None and reply.era == self.copy["era"]:
+            record_knowledge(self.freshness, as_of)
 
     def follow_preferred(self) -> None:
         """Follow the sources that are preferred now, and decide whether to read the store."""
@@ -137,7 +206,9 @@
     def link_opened(self, host: str) -> None:
         """Ask a source for its changes once the connection to it is open."""
         if self.links is not None and host in self.sources["sources"]:
-            self.links.link_to(host).send_control(FollowStore(self.copy["revision"]))
+            self.links.link_to(host).send_control(
+                FollowStore(self.copy["revision"], self.copy["era"])
+            )
 
     def link_lost(self, host: str) -> None:
         """Follow another node if the connection to a source was lost."""
@@ -172,17 +243,20 @@
             # The loop would close the connection, and with it the requests in flight on it.
             _LOG.exception("unexpected error while applying a report of %s", host)
 
-    def add_follower(self, connection: PeerConnection, known_revision: int) -> None:
+    def add_follower(self, connection: PeerConnection, known: FollowStore) -> None:
         """Report to a node from now on, beginning with what it lacks."""
         self.followers.add(connection)
         set_followers(self.sources, len(self.followers))
-        connection.send(self._report_with(changes_since(self.copy, known_revision)))
+        connection.send(self._report_with(self._changes_since(known)))
         self._decide_role(self.loop.time())
 
-    def reply_once(self, connection: PeerConnection, known_revision: int) -> None:
+    def reply_once(self, connection: PeerConnection, known: FollowStore) -> None:
         """Report once to a node that cannot read the store and follows nobody yet."""
         if self.copy["revision"]:
-            connection.send(self._report_with(changes_since(self.copy, known_revision)))
+            connection.send(self._report_with(self._changes_since(known)))
+
+    def _changes_since(self, known: FollowStore) -> StoreUpdate:
+        return changes_since(self.copy, known.known_era, known.known_revision)
 
     def ask_for_first_copy(self) -> None:
         """Ask a node that is connected to this one for its copy, while there is no other way.
--- a/src/jacinthsail/internal/adapters/store_follower.py
+++ b/src/jacinthsail/internal/adapters/store_follower.py
@@ -10,11 +10,15 @@
 
 import mode
 
+from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.store_exchange import StoreExchange
+from jacinthsail.internal.commands.fleet import record_store_went_back
+from jacinthsail.internal.commands.freshness import record_knowledge
 from jacinthsail.internal.commands.store_copy import distrust_copy, record_copied, record_items
 from jacinthsail.internal.commands.store_reading import apply_changes, record_response
 from jacinthsail.internal.model.fleet import FleetState
+from jacinthsail.internal.model.freshness import FreshnessState
 from jacinthsail.internal.model.store import (
     ChangesTooLarge,
     HistoryCompacted,
@@ -35,7 +39,13 @@
 )
 from jacinthsail.internal.model.store_sources import StoreRole
 from jacinthsail.internal.queries.fleet_view import is_outdated, manifest_version
-from jacinthsail.internal.queries.store_copy import contradicts_copy, is_newer, items_to_apply
+from jacinthsail.internal.queries.store_copy import (
+    contradicts_copy,
+    is_newer,
+    items_to_apply,
+    no_changes,
+    went_back,
+)
 from jacinthsail.internal.queries.store_reading import (
     MAX_STORE_RETRY_DELAY_S,
     next_read,
@@ -46,6 +56,9 @@
 
 STORE = "the store"
 
+# Faults of a manifest that one log line shows.
+MAX_FAULTS_LOGGED = 5
+
 
 class StoreClient(Protocol):
     """Read operations of the platform's store, and the decoding of its items."""
@@ -69,6 +82,7 @@
         reading: StoreReadState,
         copy: StoreCopy,
         fleet: FleetState,
+        freshness: FreshnessState,
         exchange: StoreExchange,
         random: Random,
         on_change: Callable[[], None],
@@ -79,6 +93,7 @@
         self.reading = reading
         self.copy = copy
         self.fleet = fleet
+        self.freshness = freshness
         self.exchange = exchange
         self.random = random
         self.on_change = on_change
@@ -94,12 +109,13 @@
         while not self.should_stop:
             if not self.reading["needs_snapshot"]:
                 await self.exchange.reads_store.wait()
-            known_revision = self.copy["revision"]
             try:
                 await self._pause()
-                known_revision = self.copy["revision"]
+                known = (self.copy["era"], self.copy["revision"])
+                # A response shows all writes that were acknowledged before it was asked for.
+                asked_at = boot_time()
                 response = await self._read()
-                self._apply_response(response, known_revision, loop.time())
+                self._apply_response(response, known, asked_at, loop.time())
             except Exception:
                 # Without this, one unexpected message would end the process.
                 _LOG.exception("unexpected error while following the store")
@@ -127,27 +143,42 @@
         assert isinstance(read, ReadChanges)
         return await self.client.read_changes(read.after, read.wait_s)
 
-    def _apply_response(self, response: StoreResponse, known_revision: int, now: float) -> None:
-        """Apply a response; ``known_revision`` is that of the copy when the read began."""
+    def _apply_response(
+        self, response: StoreResponse, known: tuple[int, int], asked_at: float, now: float
+    ) -> None:
+        """Apply a response; ``known`` is the era and revision of the copy when the read began."""
         failures = self.reading["failures"]
+        if went_back(self.copy, response):
+            _LOG.warning("the store has lost writes and gone back; reading a new snapshot")
+            response = HistoryCompacted()
         record_response(response, self.reading, self.fleet, now)
         _log_response(response, failures)
         if isinstance(response, StoreUnavailable):
             self.exchange.ask_for_first_copy()
-        if contradicts_copy(response, known_revision):
+        if contradicts_copy(response, known):
             _LOG.error(
-                "the copy claims revision %d, which the store has not reached; it is replaced",
-                known_revision,
+                "the copy claims era %d, revision %d, which the store has not reached;"
+                " it is replaced",
+                *known,
             )
             distrust_copy(self.copy)
-        if isinstance(response, StoreSnapshot | StoreDelta) and is_newer(self.copy, response):
-            self.apply_update(response, STORE)
-            return
+        if isinstance(response, StoreSnapshot | StoreDelta):
+            has_changes = is_newer(self.copy, response)
+            if has_changes:
+                self.apply_update(response, STORE)
+            record_knowledge(self.freshness, asked_at)
+            if has_changes:
+                return
         if (failures == 0) != (self.reading["failures"] == 0):
-            self.exchange.report(StoreDelta((), self.copy["revision"], self.copy["revision"]))
+            self.exchange.report(no_changes(self.copy))
 
     def apply_update(self, update: StoreUpdate, source: str) -> None:
         """Apply an update that leaves no gap, and report it to the nodes that follow this one."""
+        now = asyncio.get_running_loop().time()
+        if update.era > self.copy["era"] and self.copy["revision"]:
+            _LOG.warning("era %d of the store replaces era %d", update.era, self.copy["era"])
+            distrust_copy(self.copy)
+            record_store_went_back(self.fleet, now)
         before = self.copy["revision"]
         version = manifest_version(self.fleet)
         items = items_to_apply(update, self.copy)
@@ -155,7 +186,7 @@
         self._log_outdated(changes)
         record_items(self.copy, items)
         record_copied(update, self.copy)
-        apply_changes(changes, self.fleet, asyncio.get_running_loop().time())
+        apply_changes(changes, self.fleet, now)
         self._log_changes(changes, version, source)
         self.exchange.targets_changed()
         self.on_change()
@@ -181,10 +212,18 @@
                 self.copy["revision"],
                 source,
             )
+            self._log_manifest_faults()
         for change in changes:
             if isinstance(change, UndecodableItem):
                 _LOG.warning("ignoring unreadable item %s: %s", change.key, change.detail)
 
+    def _log_manifest_faults(self) -> None:
+        manifest = self.fleet["manifest"]
+        if manifest is None or not manifest.faults:
+            return
+        shown = "; ".join(manifest.faults[:MAX_FAULTS_LOGGED])
+        _LOG.error("manifest %08x has %d faults: %s", manifest.version, len(manifest.faults), shown)
+
 
 @singledispatch
 def update_for_followers(
@@ -199,14 +238,14 @@
     # A snapshot may hold an item that changed after its revision. The later delta brings no news of
     # it for this node, but may do so for a follower that learned that revision from another node.
     news = tuple(item for item in update.items if item.revision > before)
-    return StoreDelta(news, before, update.revision)
+    return StoreDelta(news, before, update.revision, update.era)
 
 
 @update_for_followers.register
 def _(
     update: StoreSnapshot | StoreDifference, items: tuple[PublishedItem, ...], before: int
 ) -> StoreUpdate:
-    return StoreDifference(items, before, update.revision)
+    return StoreDifference(items, before, update.revision, update.era)
 
 
 @singledispatch
--- a/src/jacinthsail/internal/adapters/wire.py
+++ b/src/jacinthsail/internal/adapters/wire.py
@@ -3,6 +3,7 @@
 Only this module depends on the encoding; all other code uses the types of ``model.messages``.
 """
 
+import math
 import struct
 import zlib
 from functools import singledispatch
@@ -32,8 +33,10 @@
     Reason,
     Unknown,
 )
+from jacinthsail.internal.model.caps import GrantStatus
 from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.messages import (
+    BucketTransfer,
     CallReply,
     CallRequest,
     Cancel,
@@ -41,6 +44,8 @@
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
+    FreshnessProbe,
+    FreshnessReply,
     Goodbye,
     Heartbeat,
     Hello,
@@ -50,6 +55,8 @@
     Ping,
     Pong,
     StoreReport,
+    TokenGrant,
+    TokenRequest,
     UnfollowStore,
     VersionOffer,
 )
@@ -207,7 +214,9 @@
 
 @_encode.register
 def _(message: FollowStore, builder: Any) -> None:
-    builder.init("followStore").knownRevision = message.known_revision
+    known = builder.init("followStore")
+    known.knownRevision = message.known_revision
+    known.knownEra = message.known_era
 
 
 @_encode.register
@@ -220,6 +229,7 @@
     report = builder.init("storeReport")
     update = message.update
     report.revision = update.revision
+    report.era = update.era
     report.isSnapshot = isinstance(update, StoreSnapshot)
     report.isDifference = isinstance(update, StoreDifference)
     report.after = 0 if isinstance(update, StoreSnapshot) else update.after
@@ -236,6 +246,47 @@
         items[index].compressedBody = zlib.compress(item.body or b"", COMPRESSION_LEVEL)
 
 
+@_encode.register
+def _(message: FreshnessProbe, builder: Any) -> None:
+    builder.freshnessProbe = message.sequence
+
+
+@_encode.register
+def _(message: FreshnessReply, builder: Any) -> None:
+    reply = builder.init("freshnessReply")
+    reply.replySequence = message.sequence
+    reply.replyEra = message.era
+    reply.replyRevision = message.revision
+    # Rounded up, because a smaller age would prove too much.
+    age_ms = MAX_UINT32 if message.age_s is None else milliseconds(message.age_s) + 1
+    reply.ageMs = min(MAX_UINT32, age_ms)
+
+
+@_encode.register
+def _(message: TokenRequest, builder: Any) -> None:
+    request = builder.init("tokenRequest")
+    request.account = message.account
+    request.wanted = min(MAX_UINT32, message.wanted)
+    request.spare = min(MAX_UINT32, message.spare)
+    request.returned = min(MAX_UINT32, message.returned)
+
+
+@_encode.register
+def _(message: TokenGrant, builder: Any) -> None:
+    grant = builder.init("tokenGrant")
+    grant.grantedAccount = message.account
+    grant.granted = min(MAX_UINT32, message.granted)
+    grant.retryAfterMs = milliseconds(message.retry_after_s)
+    grant.status = message.status.value
+
+
+@_encode.register
+def _(message: BucketTransfer, builder: Any) -> None:
+    transfer = builder.init("bucketTransfer")
+    transfer.movedAccount = message.account
+    transfer.level = message.level
+
+
 def _encode_load(load: LoadReport, builder: Any) -> None:
     builder.inFlight = load.in_flight
     builder.queued = load.queued
@@ -357,7 +408,7 @@
 
 
 def _decode_follow_store(reader: Any) -> Message:
-    return FollowStore(reader.followStore.knownRevision)
+    return FollowStore(reader.followStore.knownRevision, reader.followStore.knownEra)
 
 
 def _decode_unfollow_store(_reader: Any) -> Message:
@@ -370,15 +421,44 @@
     for item in report.items:
         body = None if item.isRemoved else _decompress(bytes(item.compressedBody))
         items.append(PublishedItem(item.key, item.revision, body))
-    update: StoreUpdate = StoreDelta(tuple(items), report.after, report.revision)
+    update: StoreUpdate = StoreDelta(tuple(items), report.after, report.revision, report.era)
     if report.isSnapshot:
-        update = StoreSnapshot(tuple(items), report.revision)
+        update = StoreSnapshot(tuple(items), report.revision, report.era)
     elif report.isDifference:
-        update = StoreDifference(tuple(items), report.after, report.revision)
+        update = StoreDifference(tuple(items), report.after, report.revision, report.era)
     age_ms = report.readAgeMs
     return StoreReport(update, report.isCurrent, None if age_ms == MAX_UINT32 else age_ms / 1000)
 
 
+def _decode_freshness_probe(reader: Any) -> Message:
+    return FreshnessProbe(reader.freshnessProbe)
+
+
+def _decode_freshness_reply(reader: Any) -> Message:
+    reply = reader.freshnessReply
+    age_s = None if reply.ageMs == MAX_UINT32 else reply.ageMs / 1000
+    return FreshnessReply(reply.replySequence, reply.replyEra, reply.replyRevision, age_s)
+
+
+def _decode_token_request(reader: Any) -> Message:
+    request = reader.tokenRequest
+    return TokenRequest(request.account, request.wanted, request.spare, request.returned)
+
+
+def _decode_token_grant(reader: Any) -> Message:
+    grant = reader.tokenGrant
+    return TokenGrant(
+        grant.grantedAccount, grant.granted, grant.retryAfterMs / 1000, GrantStatus(grant.status)
+    )
+
+
+def _decode_bucket_transfer(reader: Any) -> Message:
+    transfer = reader.bucketTransfer
+    if not 0.0 <= transfer.level < math.inf:
+        raise ValueError(f"level {transfer.level} of a bucket is not a number of tokens")
+    return BucketTransfer(transfer.movedAccount, transfer.level)
+
+
 def _decode_load(reader: Any) -> LoadReport:
     return LoadReport(
         reader.inFlight,
@@ -431,4 +511,9 @@
     "followStore": _decode_follow_store,
     "unfollowStore": _decode_unfollow_store,
     "storeReport": _decode_store_report,
+    "freshnessProbe": _decode_freshness_probe,
+    "freshnessReply": _decode_freshness_reply,
+    "tokenRequest": _decode_token_request,
+    "tokenGrant": _decode_token_grant,
+    "bucketTransfer": _decode_bucket_transfer,
 }
--- a/src/jacinthsail/internal/commands/fleet.py
+++ b/src/jacinthsail/internal/commands/fleet.py
@@ -94,6 +94,11 @@
     fleet["store_served_at"] = max(served_at, fleet["store_served_at"])
 
 
+def record_store_went_back(fleet: FleetState, now: float) -> None:
+    """Record that the store lost writes: entries are missing until they are written again."""
+    fleet["store_recovered_at"] = now
+
+
 def record_call_sent(fleet: FleetState, entry: TargetEntry) -> None:
     """Count a call that was sent to a target."""
     view = fleet["views"].get(entry.incarnation)
--- a/src/jacinthsail/internal/commands/store_copy.py
+++ b/src/jacinthsail/internal/commands/store_copy.py
@@ -27,11 +27,12 @@
 
 
 def distrust_copy(copy: StoreCopy) -> None:
-    """Let the next snapshot replace every item, because the copy claims a false revision."""
+    """Let the next snapshot replace every item, because its revisions no longer apply."""
     for key, item in copy["items"].items():
         copy["items"][key] = item._replace(revision=0)
     copy["removals"].clear()
     copy["complete_since"] = 0
+    copy["era"] = 0
     copy["revision"] = 0
 
 
@@ -45,6 +46,7 @@
 def _(update: StoreSnapshot | StoreDifference, copy: StoreCopy) -> None:
     # Items that were added and removed since the previous copy are not known here.
     copy["complete_since"] = update.revision
+    copy["era"] = update.era
     copy["revision"] = update.revision
 
 
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -50,6 +50,11 @@
     BODY_TOO_LARGE = "body-too-large"
     SLOW_CALLER = "slow-caller"
     INTERNAL_ERROR = "internal-error"
+    ACCOUNT_KEY_MISSING = "account-key-missing"
+    ACCOUNT_KEY_UNKNOWN = "account-key-unknown"
+    KEYS_NOT_PROVEN = "keys-not-proven"
+    ACCOUNT_OVER_CAP = "account-over-cap"
+    CAP_NOT_KNOWN = "cap-not-known"
 
 
 class CallContext(NamedTuple):
--- a/src/jacinthsail/internal/model/fleet_settings.py
+++ b/src/jacinthsail/internal/model/fleet_settings.py
@@ -17,13 +17,26 @@
     extra: float
 
 
+class CapSettings(NamedTuple):
+    """Bounds on the requests of an account with a cap, over all nodes.
+
+    In each span of ``window_s``, ``overage`` times the requests that the cap allows may run in
+    addition, and ``slack`` requests more.
+    """
+
+    window_s: float
+    overage: float
+    slack: float
+
+
 class FleetSettings(NamedTuple):
     """The startup settings of a node that serves HTTP requests by host and path.
 
     Callers and the target on this VM send requests to ``callers``; other nodes connect to
     ``peers``, whose port is the same on every node. ``grace_s`` is the time between the stop
     signal and the end of the process, and ``heartbeat_s`` the interval at which targets renew their
-    entries in the store.
+    entries in the store. A withdrawn key must be refused at every node after ``revocation_s``; None
+    means that nodes refuse it once they know. ``caps`` says by how much caps may be exceeded.
     """
 
     location: NodeLocation
@@ -37,3 +50,5 @@
     grace_s: float
     heartbeat_s: float
     log_buffer_lines: int
+    revocation_s: float | None = None
+    caps: CapSettings = CapSettings(5.0, 0.0, 0.0)
--- a/src/jacinthsail/internal/model/manifest.py
+++ b/src/jacinthsail/internal/model/manifest.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from jacinthsail.internal.model.accounts import AccountIndex
 from jacinthsail.internal.model.document import Execution
 
 
@@ -18,6 +19,7 @@
 
     ``timeout_s`` is the longest time until a caller gets a response, and ``target_latency_s`` the
     time within which a response has its full value. ``priority`` 0 is the most important.
+    Requests on a public route need no account.
     """
 
     name: str
@@ -29,6 +31,7 @@
     target_latency_s: float
     priority: int
     max_attempts: int
+    is_public: bool = False
 
 
 class ServiceSettings(NamedTuple):
@@ -49,12 +52,18 @@
 
 
 class Manifest(NamedTuple):
-    """One version of the manifest."""
+    """One version of the manifest.
+
+    ``accounts`` is None if callers need no account. ``faults`` describes the parts of the manifest
+    that are invalid and were left out or replaced by a safe value.
+    """
 
     version: int
     routes: tuple[RoutePolicy, ...]
     services: Mapping[str, ServiceSettings]
     limits: ClientLimits
+    accounts: AccountIndex | None = None
+    faults: tuple[str, ...] = ()
 
 
 RouteIndex = Mapping[tuple[str, str], RoutePolicy]
--- a/src/jacinthsail/internal/model/messages.py
+++ b/src/jacinthsail/internal/model/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from jacinthsail.internal.model.calls import Call, Outcome
+from jacinthsail.internal.model.caps import GrantStatus
 from jacinthsail.internal.model.fleet import LoadReport
 from jacinthsail.internal.model.replication import Item, ItemVersion
 from jacinthsail.internal.model.request_state import ForwardedOutcome, ForwardedRequest
@@ -110,6 +111,7 @@
     """Asks a node for its published items, from a known revision on, and for all later changes."""
 
     known_revision: int
+    known_era: int = 0
 
 
 class UnfollowStore(NamedTuple):
@@ -123,6 +125,53 @@
     """
 
 
+class FreshnessProbe(NamedTuple):
+    """Asks a source for the age of its knowledge of the published items."""
+
+    sequence: int
+
+
+class FreshnessReply(NamedTuple):
+    """The reply to a probe: the sender knew all writes up to ``revision`` of ``era``.
+
+    ``age_s`` is the largest possible age of that knowledge when the reply was sent, or None if the
+    sender has never read the store.
+    """
+
+    sequence: int
+    era: int
+    revision: int
+    age_s: float | None
+
+
+class TokenRequest(NamedTuple):
+    """Asks the home of an account for tokens, and gives back those whose requests did not run.
+
+    ``wanted`` tokens are needed now and ``spare`` ones soon.
+    """
+
+    account: str
+    wanted: int
+    spare: int
+    returned: int
+
+
+class TokenGrant(NamedTuple):
+    """The reply of the home of an account."""
+
+    account: str
+    granted: int
+    retry_after_s: float
+    status: GrantStatus
+
+
+class BucketTransfer(NamedTuple):
+    """The last message of a former home: the tokens that are left in the bucket of an account."""
+
+    account: str
+    level: float
+
+
 class StoreReport(NamedTuple):
     """Published items from a node that another one follows; the update may contain none.
 
@@ -153,4 +202,9 @@
     | FollowStore
     | UnfollowStore
     | StoreReport
+    | FreshnessProbe
+    | FreshnessReply
+    | TokenRequest
+    | TokenGrant
+    | BucketTransfer
 )
--- a/src/jacinthsail/internal/model/request_state.py
+++ b/src/jacinthsail/internal/model/request_state.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple, TypedDict
 
+from jacinthsail.internal.model.accounts import Account
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.manifest import RoutePolicy
 from jacinthsail.internal.model.retry_budget import RetryKind
@@ -50,7 +51,7 @@
     """The parts of a caller's request that routing and retry decisions use.
 
     ``parent_id`` is the id of the request for which a target makes this call. It is empty if the
-    id of the call names no parent.
+    id of the call names no parent. ``account_key`` is secret: it is neither logged nor passed on.
     """
 
     request_id: str
@@ -60,6 +61,7 @@
     host: str
     path: str
     remaining_time_s: float | None
+    account_key: str = ""
 
 
 class RequestState(TypedDict):
@@ -101,11 +103,15 @@
 
 
 class AcceptRequest(NamedTuple):
-    """The request matches a route, which determines its service and deadline."""
+    """The request matches a route, which determines its service and deadline.
+
+    ``account`` is None if the request needs no account.
+    """
 
     route: RoutePolicy
     service: str
     deadline: float
+    account: Account | None = None
 
 
 EntryDecision = RespondLocally | AcceptRequest
--- a/src/jacinthsail/internal/model/statuses.py
+++ b/src/jacinthsail/internal/model/statuses.py
@@ -9,3 +9,9 @@
 # The outcome is indeterminate: the request may have been executed.
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
+
+# The request carries no key, or one that identifies no account.
+STATUS_UNAUTHORIZED = 401
+
+# The account has used up its cap; the request has not run.
+STATUS_TOO_MANY_REQUESTS = 429
--- a/src/jacinthsail/internal/model/store.py
+++ b/src/jacinthsail/internal/model/store.py
@@ -44,10 +44,15 @@
 
 
 class StoreSnapshot(NamedTuple):
-    """All published items as of a revision; some may already be newer."""
+    """All published items as of a revision; some may already be newer.
+
+    Here and below, ``era`` counts how often the store has gone back to an older state. Revisions of
+    different eras cannot be compared.
+    """
 
     items: tuple[PublishedItem, ...]
     revision: int
+    era: int = 0
 
 
 class StoreDelta(NamedTuple):
@@ -56,6 +61,7 @@
     items: tuple[PublishedItem, ...]
     after: int
     revision: int
+    era: int = 0
 
 
 class StoreDifference(NamedTuple):
@@ -68,6 +74,7 @@
     items: tuple[PublishedItem, ...]
     after: int
     revision: int
+    era: int = 0
 
 
 StoreUpdate = StoreSnapshot | StoreDelta | StoreDifference
@@ -99,13 +106,15 @@
 class StoreCopy(TypedDict):
     """A node's copy of the published items, and what it needs to pass changes on to other nodes.
 
-    ``revision`` is the revision of the store up to which the copy is complete. ``removals`` holds
-    the revisions at which items were removed; all removals after ``complete_since`` are in it.
+    ``revision`` is the revision of the store, in ``era``, up to which the copy is complete.
+    ``removals`` holds the revisions at which items were removed; all removals after
+    ``complete_since`` are in it.
     """
 
     items: dict[str, PublishedItem]
     removals: dict[str, int]
     complete_since: int
+    era: int
     revision: int
 
 
--- a/src/jacinthsail/internal/queries/store_copy.py
+++ b/src/jacinthsail/internal/queries/store_copy.py
@@ -19,15 +19,26 @@
 # faulty, and accepting it would hide all later changes.
 MAX_REVISION_STEP = 1_000_000
 
+# The same for eras, which rise only when the store has lost writes.
+MAX_ERA_STEP = 100
+
 
 def new_store_copy() -> StoreCopy:
     """Return the copy of a node that has read nothing yet."""
-    return StoreCopy(items={}, removals={}, complete_since=0, revision=0)
+    return StoreCopy(items={}, removals={}, complete_since=0, era=0, revision=0)
 
 
 def is_newer(copy: StoreCopy, update: StoreUpdate) -> bool:
-    """Return whether an update takes the copy to a later revision."""
-    return update.revision > copy["revision"]
+    """Return whether an update takes the copy to a later revision, or into a later era."""
+    return (update.era, update.revision) > (copy["era"], copy["revision"])
+
+
+def went_back(copy: StoreCopy, response: StoreResponse) -> bool:
+    """Return whether the store has gone back to an older state since the copy was made.
+
+    Its revisions are given out again, so changes cannot be applied to the copy.
+    """
+    return isinstance(response, StoreDelta) and response.era != copy["era"]
 
 
 @singledispatch
@@ -43,29 +54,31 @@
 
 @follows.register
 def _(update: StoreDelta, copy: StoreCopy) -> bool:
-    return update.after <= copy["revision"]
+    return update.era == copy["era"] and update.after <= copy["revision"]
 
 
 @follows.register
 def _(update: StoreDifference, copy: StoreCopy) -> bool:
-    return update.after == copy["revision"]
+    return update.era == copy["era"] and update.after == copy["revision"]
 
 
 def is_plausible(copy: StoreCopy, update: StoreUpdate) -> bool:
     """Return whether a peer's update can stem from the store that this node has read."""
     if not copy["revision"]:
         return True
+    if update.era != copy["era"]:
+        return update.era - copy["era"] <= MAX_ERA_STEP
     newest = max((item.revision for item in update.items), default=0)
     return max(newest, update.revision) - copy["revision"] <= MAX_REVISION_STEP
 
 
-def contradicts_copy(response: StoreResponse, known_revision: int) -> bool:
+def contradicts_copy(response: StoreResponse, known: tuple[int, int]) -> bool:
     """Return whether a snapshot of the store shows that the copy came from a faulty node.
 
-    The store never goes back. A copy that became newer while the snapshot was read is no
-    contradiction, so ``known_revision`` is that of the copy when the read began.
+    Within an era, the store never goes back. A copy that became newer while the snapshot was read
+    is no contradiction, so ``known`` is the era and revision of the copy when the read began.
     """
-    return isinstance(response, StoreSnapshot) and response.revision < known_revision
+    return isinstance(response, StoreSnapshot) and (response.era, response.revision) < known
 
 
 def known_revision(copy: StoreCopy, key: str) -> int:
@@ -99,15 +112,20 @@
     return tuple(item for item in items if item.revision > known_revision(copy, item.key))
 
 
-def changes_since(copy: StoreCopy, revision: int) -> StoreUpdate:
-    """Return what a node lacks that knows all changes up to a revision."""
-    if revision < copy["complete_since"]:
-        return StoreSnapshot(tuple(copy["items"].values()), copy["revision"])
+def no_changes(copy: StoreCopy) -> StoreDelta:
+    """Return an update that only states how far the copy is complete."""
+    return StoreDelta((), copy["revision"], copy["revision"], copy["era"])
+
+
+def changes_since(copy: StoreCopy, era: int, revision: int) -> StoreUpdate:
+    """Return what a node lacks that knows all changes up to a revision of an era."""
+    if era != copy["era"] or revision < copy["complete_since"]:
+        return StoreSnapshot(tuple(copy["items"].values()), copy["revision"], copy["era"])
     changed = [item for item in copy["items"].values() if item.revision > revision]
     for key, removed_at in copy["removals"].items():
         if removed_at > revision:
             changed.append(PublishedItem(key, removed_at, None))
-    return StoreDelta(tuple(changed), revision, copy["revision"])
+    return StoreDelta(tuple(changed), revision, copy["revision"], copy["era"])
 
 
 def surplus_removals(copy: StoreCopy) -> tuple[str, ...]:
--- a/src/jacinthsail/platform/decoding.py
+++ b/src/jacinthsail/platform/decoding.py
@@ -1,8 +1,6 @@
 """Decodes the manifest of the operators and the entries that targets publish."""
 
-import ipaddress
 import json
-import math
 import re
 from collections.abc import Mapping
 from typing import Any
@@ -19,9 +17,18 @@
     RoutePolicy,
     ServiceSettings,
 )
-from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.model.store import TargetPublished
 from jacinthsail.platform import names
+from jacinthsail.platform.accounts import decode_accounts
+from jacinthsail.platform.values import (
+    DECODE_ERRORS,
+    bounded_integer,
+    duration_s,
+    endpoint,
+    malformed,
+    non_empty_text,
+    token,
+)
 
 # More slots than any small VM can serve; a larger number is an error in the published entry.
 MAX_SLOTS = 100_000
@@ -29,115 +36,16 @@
 # Start times in milliseconds and numbers of writes are far smaller.
 MAX_COUNT = 2**63 - 1
 
-MAX_PORT = 65_535
-
-# Longer names are no names of the platform; the limit also bounds log lines.
-MAX_TEXT_LENGTH = 200
-
-# Longer times have no use in an overload control layer and overflow timers.
-MAX_DURATION_S = 7 * 24 * 3600.0
-
-# Part of the description of a malformed value that is logged.
-MAX_DETAIL_LENGTH = 200
-
 _VERSION = re.compile(r"[0-9a-fA-F]{8}", re.ASCII)
-_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
-_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?", re.ASCII)
-# Printable ASCII without spaces, which is safe in a header of a request.
-_TOKEN = re.compile(r"[\x21-\x7e]+", re.ASCII)
-
-# Raised by the functions below for a value of the wrong type or format.
-DECODE_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-
-_UNITS_S = (("ms", 0.001), ("s", 1.0))
 
 _EXECUTIONS = {
     names.ROUTE_TYPE_IDEMPOTENT: Execution.REPEATABLE,
+    names.ROUTE_TYPE_DOWNLOAD: Execution.REPEATABLE,
     names.ROUTE_TYPE_NON_IDEMPOTENT: Execution.AT_MOST_ONCE,
+    names.ROUTE_TYPE_UPLOAD: Execution.AT_MOST_ONCE,
 }
 
 
-def malformed(source: str, error: Exception) -> MalformedMessage:
-    """Return the failure for an exception, with a detail that is short enough for a log line."""
-    detail = f"{type(error).__name__}: {error}"
-    return MalformedMessage(source[:MAX_DETAIL_LENGTH], detail[:MAX_DETAIL_LENGTH])
-
-
-def duration_s(value: object) -> float:
-    """Return a duration in the platform's notation, converted to seconds.
-
-    >>> duration_s("1500ms")
-    1.5
-    """
-    if not isinstance(value, str):
-        raise TypeError("not a duration with a unit, such as 1500ms")
-    for unit, factor in _UNITS_S:
-        number = value.removesuffix(unit)
-        if number == value or not _NUMBER.fullmatch(number):
-            continue
-        seconds = float(number) * factor
-        if seconds > MAX_DURATION_S:
-            raise ValueError(f"{value!r} is longer than {MAX_DURATION_S:.0f} s")
-        return seconds
-    raise ValueError(f"{value[:40]!r} is not a duration with a unit, such as 1500ms")
-
-
-def endpoint(value: object) -> Endpoint:
-    """Return the endpoint for an address of the form host:port, where host is an IPv4 address.
-
-    A host name is rejected because looking it up would block.
-    """
-    host, _, port = token(value).rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"{port!r} is not a port from 1 to {MAX_PORT}")
-    return Endpoint(host, int(port))
-
-
-def non_empty_text(value: object) -> str:
-    """Return the value if it is a non-empty string that can be encoded and is not too long."""
-    if not isinstance(value, str) or not value:
-        raise TypeError("not a non-empty string")
-    if len(value) > MAX_TEXT_LENGTH:
-        raise ValueError(f"longer than {MAX_TEXT_LENGTH} characters")
-    value.encode()
-    return value
-
-
-def token(value: object) -> str:
-    """Return the value if it is a string that can be sent as the value of a header."""
-    text = non_empty_text(value)
-    if not _TOKEN.fullmatch(text):
-        raise ValueError(f"{text!r} contains spaces or characters other than printable ASCII")
-    return text
-
-
-def finite_number(value: object) -> float:
-    """Return the value as a float if it is a finite number that is not negative."""
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise TypeError("not a number")
-    number = float(value)
-    if not math.isfinite(number) or number < 0.0:
-        raise ValueError(f"{number} is not a finite number from 0")
-    return number
-
-
-def bounded_integer(value: object, minimum: int, maximum: int) -> int:
-    """Return the value if it is an integer within the bounds."""
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError("not an integer")
-    if not minimum <= value <= maximum:
-        raise ValueError(f"not an integer from {minimum} to {maximum}")
-    return value
-
-
 def decode_target(
     incarnation: str, body: bytes, regions: Mapping[str, str]
 ) -> Result[TargetPublished, MalformedMessage]:
@@ -183,10 +91,14 @@
 
 
 def decode_manifest(body: bytes) -> Result[Manifest, MalformedMessage]:
-    """Return the manifest; one invalid route invalidates the whole manifest."""
+    """Return the manifest; one invalid route invalidates the whole manifest.
+
+    An unknown kind of route and an invalid account do not. They are listed among its faults.
+    """
+    faults: list[str] = []
     try:
         table = json.loads(body)
-        routes = tuple(_route(route) for route in table["routes"])
+        routes = tuple(_route(route, faults) for route in table["routes"])
         services = {}
         for service in table["services"]:
             service_settings = _service(service)
@@ -197,6 +109,8 @@
                 routes=routes,
                 services=services,
                 limits=_limits(table["limits"]),
+                accounts=decode_accounts(table.get("tenants"), faults),
+                faults=tuple(faults),
             )
         )
     except DECODE_ERRORS as error:
@@ -210,15 +124,19 @@
     return int(text, 16)
 
 
-def _route(table: dict[str, Any]) -> RoutePolicy:
-    execution = _EXECUTIONS.get(table["routeType"])
+def _route(table: dict[str, Any], faults: list[str]) -> RoutePolicy:
+    name = non_empty_text(table["name"])
+    execution = _EXECUTIONS.get(non_empty_text(table["routeType"]))
     if execution is None:
-        raise ValueError("routeType is not a route type")
+        # A later version of the platform may name further types. Running a request twice does more
+        # harm than not repeating it.
+        execution = Execution.AT_MOST_ONCE
+        faults.append(f"route {name} has an unknown type and is treated as at-most-once")
     prefix = non_empty_text(table["prefix"])
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} does not begin and end with a slash")
     return RoutePolicy(
-        name=non_empty_text(table["name"]),
+        name=name,
         host=non_empty_text(table["hostname"]).lower(),
         prefix=prefix,
         branches=_branches(table),
@@ -230,6 +148,8 @@
         # The number of targets to which a node may send one request from a caller. It does not
         # limit how many times the caller itself sends the request.
         max_attempts=bounded_integer(table["maxAttempts"], 1, 1000),
+        # Anything but a plain true keeps the route closed to callers without an account.
+        is_public=table.get("public") is True,
     )
 
 
--- a/src/jacinthsail/platform/http.py
+++ b/src/jacinthsail/platform/http.py
@@ -21,6 +21,8 @@
     {names.HEADER_REMAINING_MS, names.HEADER_EXPECTED_INSTANCE, names.HEADER_CALLER_SERVICE}
 )
 _NOT_FORWARDED = names.HOP_BY_HOP_HEADERS | _SET_BY_NODE
+# The same where callers have accounts.
+_NOT_FORWARDED_WITH_ACCOUNTS = _NOT_FORWARDED | {names.HEADER_API_KEY, names.HEADER_TENANT}
 _NOT_RETURNED = names.HOP_BY_HOP_HEADERS | {names.HEADER_SERVER_LOAD}
 
 STATUS_MISDIRECTED = 421
@@ -41,6 +43,8 @@
         hosts = 0
         request_id = b""
         remaining_ms = b""
+        account_key = b""
+        keys = 0
         for name, value in request.headers:
             lower = name.lower()
             if lower == names.HEADER_HOST:
@@ -50,6 +54,9 @@
                 request_id = value
             elif lower == names.HEADER_REMAINING_MS:
                 remaining_ms = value
+            elif lower == names.HEADER_API_KEY:
+                account_key = value
+                keys += 1
         if hosts != 1 or not request.url.startswith(b"/"):
             return Failure(
                 MalformedMessage(
@@ -72,16 +79,29 @@
                 host=host.partition(b":")[0].decode("latin-1").lower(),
                 path=path,
                 remaining_time_s=remaining_s,
+                # Of two keys, neither is known to be the caller's.
+                account_key=account_key.decode("latin-1") if keys == 1 else "",
             )
         )
 
-    def head_lines(self, request: HttpRequest, caller_service: str) -> bytes:
-        """Return the header lines for the target, without those that its node adds."""
+    def head_lines(
+        self, request: HttpRequest, caller_service: str, account_name: str | None
+    ) -> bytes:
+        """Return the header lines for the target, without those that its node adds.
+
+        ``account_name`` is None where callers have no accounts, and empty if this request needs
+        none.
+        """
         lines = [b"X-Caller-Service: %s\r\n" % caller_service.encode("latin-1")]
+        not_forwarded = _NOT_FORWARDED
+        if account_name is not None:
+            not_forwarded = _NOT_FORWARDED_WITH_ACCOUNTS
+        if account_name:
+            lines.append(b"X-Tenant-Id: %s\r\n" % account_name.encode("latin-1"))
         connection_options = _connection_options(request.headers)
         for name, value in request.headers:
             lower = name.lower()
-            if lower in _NOT_FORWARDED or lower in connection_options:
+            if lower in not_forwarded or lower in connection_options:
                 continue
             lines.append(b"%s: %s\r\n" % (name, value))
         return b"".join(lines)
--- a/src/jacinthsail/platform/names.py
+++ b/src/jacinthsail/platform/names.py
@@ -13,6 +13,10 @@
 # Set by a target that refuses a request before execution.
 HEADER_NOT_EXECUTED = b"x-not-executed"
 HEADER_SERVER_LOAD = b"x-server-load"
+# Identifies the account of a caller; secret, and never sent to a target.
+HEADER_API_KEY = b"x-api-key"
+# The name of the account, for the target.
+HEADER_TENANT = b"x-tenant-id"
 HEADER_HOST = b"host"
 HEADER_CONTENT_ENCODING = b"content-encoding"
 
@@ -36,11 +40,19 @@
 # Keys of target entries; the platform calls targets servers.
 TARGETS_PREFIX = "servers/"
 
+# Rises by one each time the store has gone back to an older state. In lower case, as responses of
+# the store are read.
+HEADER_STORE_ERA = b"store-era"
+
 ITEM_PATH = "/-/kv-key"
 RANGE_PATH = "/-/kv-range"
 WATCH_PATH = "/-/kv-watch"
 
 ROUTE_TYPE_IDEMPOTENT = "idempotent"
 ROUTE_TYPE_NON_IDEMPOTENT = "non_idempotent"
+# Requests with large bodies, which must not be repeated.
+ROUTE_TYPE_UPLOAD = "upload"
+# Requests with large responses, which may be repeated.
+ROUTE_TYPE_DOWNLOAD = "download"
 TARGET_STATE_READY = "ready"
 TARGET_STATE_DRAINING = "draining"
--- a/src/jacinthsail/platform/settings.py
+++ b/src/jacinthsail/platform/settings.py
@@ -8,9 +8,13 @@
 
 from jacinthsail.errors import ConfigurationError, MalformedToml
 from jacinthsail.internal.model.fleet import NodeLocation
-from jacinthsail.internal.model.fleet_settings import FleetSettings, RetryBudgetSettings
+from jacinthsail.internal.model.fleet_settings import (
+    CapSettings,
+    FleetSettings,
+    RetryBudgetSettings,
+)
 from jacinthsail.internal.model.settings import Endpoint
-from jacinthsail.platform.decoding import (
+from jacinthsail.platform.values import (
     DECODE_ERRORS,
     duration_s,
     endpoint,
@@ -24,6 +28,9 @@
 
 LOG_BUFFER_LINES = 2000
 
+# Used where the platform sets no bound across nodes; without overage, nodes rely on homes alone.
+DEFAULT_CAP_WINDOW_S = 5.0
+
 
 class PlatformSettings(NamedTuple):
     """The settings of a node, and the region of each failure domain."""
@@ -82,4 +89,23 @@
         # The interval at which targets write their entries.
         heartbeat_s=duration_s(table["heartbeat"]),
         log_buffer_lines=LOG_BUFFER_LINES,
+        revocation_s=_revocation_s(bounds),
+        caps=_caps(bounds),
+    )
+
+
+def _revocation_s(bounds: dict[str, Any]) -> float | None:
+    """Return the time within which a withdrawn key must be refused everywhere, if there is one."""
+    if bounds.get("strictRevoke") is not True:
+        return None
+    return duration_s(bounds["revoke"])
+
+
+def _caps(bounds: dict[str, Any]) -> CapSettings:
+    if "quotaWindow" not in bounds:
+        return CapSettings(DEFAULT_CAP_WINDOW_S, 0.0, 0.0)
+    return CapSettings(
+        window_s=duration_s(bounds["quotaWindow"]),
+        overage=finite_number(bounds["quotaOverage"]),
+        slack=finite_number(bounds["quotaSlack"]),
     )
--- a/src/jacinthsail/platform/store.py
+++ b/src/jacinthsail/platform/store.py
@@ -5,7 +5,7 @@
 import json
 import logging
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote
 
 from returns.result import Failure, Success
@@ -31,14 +31,8 @@
     UndecodableItem,
 )
 from jacinthsail.platform import names
-from jacinthsail.platform.decoding import (
-    DECODE_ERRORS,
-    bounded_integer,
-    decode_manifest,
-    decode_target,
-    malformed,
-    token,
-)
+from jacinthsail.platform.decoding import decode_manifest, decode_target
+from jacinthsail.platform.values import DECODE_ERRORS, bounded_integer, malformed, token
 
 _LOG = logging.getLogger("jacinthsail.store")
 
@@ -60,6 +54,13 @@
 _STORE_ERRORS = (OSError, TimeoutError)
 
 
+class StorePage(NamedTuple):
+    """The decoded body of a response, and the era of the store that sent it."""
+
+    body: Any
+    era: int
+
+
 class PlatformStore:
     """Reads the store over one connection, which is reopened after an error."""
 
@@ -76,18 +77,22 @@
         """
         items: list[PublishedItem] = []
         revision: int | None = None
+        era = 0
         after = ""
         while True:
             page = await self._get(f"{names.RANGE_PATH}?prefix=&after={quote(after)}")
             if isinstance(page, StoreUnavailable):
                 return page
             try:
-                listed = page["items"]
+                listed = page.body["items"]
                 _append_items(listed, items)
                 if revision is None:
-                    revision = _revision(page["asOf"])
-                if not page["hasMore"] or not listed:
-                    return StoreSnapshot(tuple(items), revision)
+                    revision = _revision(page.body["asOf"])
+                    era = page.era
+                if page.era != era:
+                    return StoreUnavailable("the store went back while its items were read")
+                if not page.body["hasMore"] or not listed:
+                    return StoreSnapshot(tuple(items), revision, era)
                 after = _last_key(listed)
             except DECODE_ERRORS as error:
                 return StoreUnavailable(f"undecodable page: {malformed('', error).detail}")
@@ -103,8 +108,9 @@
             return HistoryCompacted() if response.status == STATUS_HISTORY_GONE else response
         items: list[PublishedItem] = []
         try:
-            _append_items(response["events"], items)
-            return StoreDelta(tuple(items), after, _revision(response["asOf"]))
+            _append_items(response.body["events"], items)
+            revision = _revision(response.body["asOf"])
+            return StoreDelta(tuple(items), after, revision, response.era)
         except DECODE_ERRORS as error:
             return StoreUnavailable(f"undecodable changes: {malformed('', error).detail}")
 
@@ -131,7 +137,9 @@
                 return UndecodableItem(item.key, error.detail)
         raise AssertionError("a result is a success or a failure")
 
-    async def _get(self, path: str, timeout_s: float = RESPONSE_TIMEOUT_S) -> Any:
+    async def _get(
+        self, path: str, timeout_s: float = RESPONSE_TIMEOUT_S
+    ) -> "StorePage | StoreUnavailable":
         try:
             connection = await self._open_connection()
             async with asyncio.timeout(timeout_s):
@@ -144,7 +152,7 @@
         if result.status != STATUS_OK:
             return StoreUnavailable(f"status {result.status}", result.status)
         try:
-            return json.loads(result.body)
+            return StorePage(json.loads(result.body), _era(result))
         except DECODE_ERRORS as error:
             return StoreUnavailable(f"undecodable response: {malformed('', error).detail}")
 
@@ -216,6 +224,14 @@
     return PublishedItem(key, revision, body)
 
 
+def _era(response: HttpClientResponse) -> int:
+    """Return the era of the store; a store that never states one has not gone back."""
+    for name, value in response.headers:
+        if name == names.HEADER_STORE_ERA:
+            return bounded_integer(int(value), 0, MAX_REVISION)
+    return 0
+
+
 def _revision(value: object) -> int:
     return bounded_integer(value, 0, MAX_REVISION)
 
--- a/src/jacinthsail/testing/platform_stand_ins.py
+++ b/src/jacinthsail/testing/platform_stand_ins.py
@@ -65,6 +65,7 @@
         self.oldest_revision = 1
         self.watches: list[Watch] = []
         self.status = 200
+        self.era: int | None = None
         self.calls = 0
 
     def put(self, key: str, value: object) -> None:
@@ -80,6 +81,13 @@
         self.items.pop(key, None)
         self._add_event({"key": key, "revision": self.revision, "deleted": True})
 
+    def go_back(self, items: dict[str, tuple[bytes, int]], revision: int) -> None:
+        """Return as an earlier copy: later writes are lost, and their revisions given out again."""
+        self.era = (self.era or 0) + 1
+        self.items = dict(items)
+        self.revision = revision
+        self.drop_history()
+
     def drop_history(self) -> None:
         """Discard the event history and end all watches with status 410."""
         self.oldest_revision = self.revision + 1
@@ -103,7 +111,14 @@
 
     def _events_after(self, after: int) -> HttpResponse:
         events = [event for event in self.events if event["revision"] > after]
-        return json_response({"events": events, "asOf": self.revision})
+        return self._response({"events": events, "asOf": self.revision})
+
+    def _response(self, value: object) -> HttpResponse:
+        response = json_response(value)
+        if self.era is None:
+            return response
+        lines = response.head_lines + b"Store-Era: %d\r\n" % self.era
+        return response._replace(head_lines=lines)
 
     def serve(self, request: HttpRequest, respond: ResponseCallback) -> RequestHandle | None:
         """Respond to one request of a node."""
@@ -134,7 +149,7 @@
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         page = [self._item(key) for key in keys[: self.page_size]]
         has_more = len(keys) > self.page_size
-        return json_response({"items": page, "hasMore": has_more, "asOf": self.revision})
+        return self._response({"items": page, "hasMore": has_more, "asOf": self.revision})
 
 
 def json_response(value: object) -> HttpResponse:
--- a/tests/common/platform_testbed.py
+++ b/tests/common/platform_testbed.py
@@ -127,8 +127,8 @@
             log_buffer_lines=100,
         )
 
-    async def add_node(self, number, domain="manila", service="drafts"):
-        settings = self.settings(number, domain, service)
+    async def add_node(self, number, domain="manila", service="drafts", **settings_changes):
+        settings = self.settings(number, domain, service)._replace(**settings_changes)
         store = PlatformStore(settings.store, {"manila": "luzon", "davao": "mindanao"})
         dialects = PlatformDialects(CallerHttp(), TargetHttp(), store)
         node = FleetNode(settings, dialects, lambda: Success(settings))
--- a/tests/fast/test_platform_decoding.py
+++ b/tests/fast/test_platform_decoding.py
@@ -13,14 +13,10 @@
 from jacinthsail.internal.model.fleet import EntryVersion
 from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.model.store import StoreSnapshot, StoreUnavailable, UndecodableItem
-from jacinthsail.platform.decoding import (
-    MAX_DETAIL_LENGTH,
-    decode_manifest,
-    decode_target,
-    duration_s,
-)
+from jacinthsail.platform.decoding import decode_manifest, decode_target
 from jacinthsail.platform.settings import decode_settings
-from jacinthsail.platform.store import PlatformStore
+from jacinthsail.platform.store import PlatformStore, StorePage
+from jacinthsail.platform.values import MAX_DETAIL_LENGTH, duration_s
 
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=200)
 
@@ -226,7 +222,7 @@
 class StoreItemsTest(unittest.TestCase):
     def read(self, *items):
         store = PlatformStore(Endpoint("127.0.0.1", 1), {})
-        pages = [{"items": list(items), "hasMore": False, "asOf": 9}]
+        pages = [StorePage({"items": list(items), "hasMore": False, "asOf": 9}, 0)]
 
         async def get(path, timeout_s=0.0):
             return pages.pop(0)
--- a/tests/fast/test_store_sources.py
+++ b/tests/fast/test_store_sources.py
@@ -261,15 +261,15 @@
         apply(at_start, difference)
         apply(in_between, difference)
         self.assertEqual((at_start["revision"], in_between["revision"]), (9, 7))
-        apply(in_between, changes_since(at_start, in_between["revision"]))
+        apply(in_between, changes_since(at_start, 0, in_between["revision"]))
         self.assertEqual(in_between["items"], at_start["items"])
 
     def test_node_that_lags_behind_the_kept_removals_gets_a_snapshot(self):
         """A removal that is no longer kept would be missing in a list of changes."""
         removals = tuple(item(f"k{n}", 10 + n, None) for n in range(MAX_REMOVALS + 1))
         copy = self.copy(StoreSnapshot((), 5), StoreDelta(removals, 5, 10_000))
-        self.assertIsInstance(changes_since(copy, 9), StoreSnapshot)
-        self.assertIsInstance(changes_since(copy, 10), StoreDelta)
+        self.assertIsInstance(changes_since(copy, 0, 9), StoreSnapshot)
+        self.assertIsInstance(changes_since(copy, 0, 10), StoreDelta)
 
     def test_revision_far_beyond_the_store_is_refused(self):
         """A faulty peer could hide all later changes with one large number."""
@@ -282,7 +282,7 @@
         """A faulty node could keep a node that starts from ever learning a change."""
         copy = self.copy(StoreSnapshot((item("a", 2**62), item("b", 3)), 2**62))
         snapshot = StoreSnapshot((item("a", 4), item("c", 5)), 6)
-        self.assertTrue(contradicts_copy(snapshot, copy["revision"]))
+        self.assertTrue(contradicts_copy(snapshot, (0, copy["revision"])))
         distrust_copy(copy)
         apply(copy, snapshot)
         self.assertEqual(copy["items"], {"a": item("a", 4), "c": item("c", 5)})
@@ -293,7 +293,7 @@
         known = copy["revision"]
         apply(copy, StoreDelta((item("a", 7, None),), 5, 8))
         snapshot = StoreSnapshot((item("a", 3),), 6)
-        self.assertFalse(contradicts_copy(snapshot, known))
+        self.assertFalse(contradicts_copy(snapshot, (0, known)))
         apply(copy, snapshot)
         self.assertEqual((copy["items"], copy["revision"]), ({}, 8))
 
@@ -319,7 +319,7 @@
                 continue
             # With actions 2 and 3 the report is late: it stems from before the peer's last read.
             peer = nodes[(number + action) % 3]
-            apply(copy, changes_since(peer, max(0, known - action)))
+            apply(copy, changes_since(peer, 0, max(0, known - action)))
         for copy in nodes:
             known = copy["revision"]
             apply(copy, StoreDelta(tuple(history[known:]), known, len(history)))
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -3,6 +3,8 @@
 import struct
 import unittest
 
+from returns.result import Failure
+
 from jacinthsail.internal.adapters.forward_records import (
     pack_reply,
     pack_request,
@@ -11,8 +13,10 @@
 )
 from jacinthsail.internal.adapters.wire import LENGTH_PREFIX, decode_payload, encode_frame
 from jacinthsail.internal.model.calls import Answered, Call, NotRun, Reason, Unknown
+from jacinthsail.internal.model.caps import GrantStatus
 from jacinthsail.internal.model.fleet import KindLoad, LoadReport
 from jacinthsail.internal.model.messages import (
+    BucketTransfer,
     CallReply,
     CallRequest,
     Cancel,
@@ -20,6 +24,8 @@
     FollowStore,
     ForwardReplyMessage,
     ForwardRequestMessage,
+    FreshnessProbe,
+    FreshnessReply,
     Goodbye,
     Heartbeat,
     Hello,
@@ -28,6 +34,8 @@
     Ping,
     Pong,
     StoreReport,
+    TokenGrant,
+    TokenRequest,
     UnfollowStore,
     VersionOffer,
 )
@@ -78,6 +86,13 @@
     ForwardReplyMessage(10, ForwardedResponse(500, b"", b"", True), LOAD),
     ForwardReplyMessage(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LOAD),
     ForwardReplyMessage(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LOAD),
+    FreshnessProbe(7),
+    FreshnessReply(7, 2, 2**40, None),
+    TokenRequest("opera", 3, 2, 1),
+    TokenGrant("opera", 3, 0.5, GrantStatus.OVER_CAP),
+    BucketTransfer("opera", 2.5),
+    FollowStore(17, 3),
+    StoreReport(StoreSnapshot((), 9, 4), True, 0.25),
     Ping(),
     Pong(LOAD),
     FollowStore(2**63 - 1),
@@ -121,3 +136,21 @@
                     self.assertRaises((ValueError, struct.error)),
                 ):
                     unpack(record[:length])
+
+
+class FreshnessWireTest(unittest.TestCase):
+    def test_age_is_rounded_up(self):
+        """A smaller age would prove that a withdrawn key is unknown for less long than it is."""
+        for age_s in (0.0, 0.0004, 1.2345, 10.0**9):
+            with self.subTest(age_s=age_s):
+                frame = encode_frame(FreshnessReply(1, 0, 0, age_s))
+                decoded = decode_payload(frame[LENGTH_PREFIX.size :], "peer").unwrap()
+                self.assertTrue(decoded.age_s is None or decoded.age_s >= age_s)
+
+    def test_level_of_a_bucket_is_a_number(self):
+        """A level that is not a number would never be refused, and never run out."""
+        for level in (float("nan"), float("inf"), -1.0):
+            with self.subTest(level=level):
+                frame = encode_frame(BucketTransfer("opera", level))
+                result = decode_payload(frame[LENGTH_PREFIX.size :], "peer")
+                self.assertIsInstance(result, Failure)
