Send requests with large bodies or responses on a connection of their own

Cause: a frame with a large body holds up every small request behind it on the one connection between two nodes.

The sharing of published items stays on the first.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -78,6 +78,7 @@
     is_key_in_force,
     is_store_recent,
 )
+from jacinthsail.internal.queries.bulk import is_bulk_request
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.freshness import proves_keys
 from jacinthsail.internal.queries.lineage import arrival_rank, find_parent
@@ -386,7 +387,8 @@
             handle: RequestHandle = entry.local_target.submit(forwarded, self.on_outcome)
         else:
             assert isinstance(choice, SendToNode)
-            handle = entry.links.send(target.host, forwarded, self.on_outcome)
+            is_bulk = is_bulk_request(self.request_state, len(forwarded.body))
+            handle = entry.links.send(target.host, forwarded, is_bulk, self.on_outcome)
         # The outcome may already have been reported, and another attempt may be in progress.
         if self.request_state["current_target"] == target.incarnation and self.respond is not None:
             self.handle = handle
--- a/src/jacinthsail/internal/adapters/peer_link.py
+++ b/src/jacinthsail/internal/adapters/peer_link.py
@@ -148,15 +148,19 @@
 
 
 class PeerLink:
-    """The connection to one peer; it is opened when there are requests for the peer.
+    """A connection to one peer; it is opened when there are requests for the peer.
+
+    Bulk links carry requests with large bodies or responses, which would hold up the others. The
+    sharing of published items concerns the other link to the peer only.
 
     A connection that went silent, or whose peer reads too slowly, is replaced. It is kept in
     ``replaced`` while requests wait for their responses on it.
     """
 
-    def __init__(self, links: LinkOwner, host: str) -> None:
+    def __init__(self, links: LinkOwner, host: str, is_bulk: bool = False) -> None:
         self.links = links
         self.host = host
+        self.is_bulk = is_bulk
         self.connection: PeerConnection | None = None
         self.is_handshake_done = False
         self.replaced: set[PeerConnection] = set()
@@ -236,13 +240,14 @@
             self.task = None
         if self.is_handshake_done:
             self._send_waiting()
-            self.links.sharing.link_opened(self.host)
+            if not self.is_bulk:
+                self.links.sharing.link_opened(self.host)
             return
         if self.connection is not None:
             self.connection.abort()
         self.connection = None
         self._reject_waiting()
-        self.links.sharing.link_lost(self.host)
+        self._report_lost()
 
     def _send_waiting(self) -> None:
         waiting, self.waiting = self.waiting, []
@@ -297,7 +302,7 @@
                 continue
             request.settle(Unknown(Reason.CONNECTION_LOST, 0))
         if is_current:
-            self.links.sharing.link_lost(self.host)
+            self._report_lost()
 
     def _take_pending(self, connection: PeerConnection) -> list[PendingPeerRequest]:
         taken = self.pending_on(connection)
@@ -344,7 +349,11 @@
             self.cancel_forward(request)
             request.settle(outcome)
         self.close_if_finished(connection)
-        self.links.sharing.link_lost(self.host)
+        self._report_lost()
+
+    def _report_lost(self) -> None:
+        if not self.is_bulk:
+            self.links.sharing.link_lost(self.host)
 
 
 @singledispatch
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -68,6 +68,7 @@
         self.sharing = sharing
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, PeerLink] = {}
+        self.bulk_links: dict[str, PeerLink] = {}
         self.inbound: dict[PeerConnection, dict[int, LocalRequest]] = {}
         self.server: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -91,14 +92,21 @@
         self.timer = self.loop.call_later(SILENCE_CHECK_INTERVAL_S, self._check_links)
         now = self.loop.time()
         # A request that is sent elsewhere may open the first connection to another peer.
-        for link in tuple(self.links.values()):
+        for link in (*self.links.values(), *self.bulk_links.values()):
             link.check_silence(now)
 
     def send(
-        self, host: str, forwarded: ForwardedRequest, on_outcome: OnOutcome
+        self, host: str, forwarded: ForwardedRequest, is_bulk: bool, on_outcome: OnOutcome
     ) -> PendingPeerRequest:
         """Send a request to the node on another VM."""
-        return self.link_to(host).send(forwarded, on_outcome)
+        link = self._bulk_link_to(host) if is_bulk else self.link_to(host)
+        return link.send(forwarded, on_outcome)
+
+    def _bulk_link_to(self, host: str) -> PeerLink:
+        link = self.bulk_links.get(host)
+        if link is None:
+            link = self.bulk_links[host] = PeerLink(self, host, is_bulk=True)
+        return link
 
     def link_to(self, host: str) -> PeerLink:
         """Return the link to the node on another VM, which may not be open."""
@@ -155,7 +163,7 @@
             self.timer.cancel()
         if self.server is not None:
             self.server.close()
-        for link in self.links.values():
+        for link in (*self.links.values(), *self.bulk_links.values()):
             for connection in (link.connection, *link.replaced):
                 if connection is not None:
                     connection.abort()
--- a/src/jacinthsail/internal/model/manifest.py
+++ b/src/jacinthsail/internal/model/manifest.py
@@ -20,6 +20,7 @@
     ``timeout_s`` is the longest time until a caller gets a response, and ``target_latency_s`` the
     time within which a response has its full value. ``priority`` 0 is the most important.
     Requests on a public route need no account.
+    ``has_large_responses`` marks downloads.
     """
 
     name: str
@@ -32,6 +33,7 @@
     priority: int
     max_attempts: int
     is_public: bool = False
+    has_large_responses: bool = False
 
 
 class ServiceSettings(NamedTuple):
--- a/src/jacinthsail/platform/decoding.py
+++ b/src/jacinthsail/platform/decoding.py
@@ -150,6 +150,7 @@
         max_attempts=bounded_integer(table["maxAttempts"], 1, 1000),
         # Anything but a plain true keeps the route closed to callers without an account.
         is_public=table.get("public") is True,
+        has_large_responses=table["routeType"] == names.ROUTE_TYPE_DOWNLOAD,
     )
 
 
