--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -12,6 +12,7 @@
 
 from jacinthsail.errors import ConfigurationError, describe
 from jacinthsail.internal.adapters.account_caps import AccountCaps
+from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.entry import CallerDialect, RequestRouter
 from jacinthsail.internal.adapters.http_server import (
     SWEEP_INTERVAL_S,
@@ -24,7 +25,7 @@
 )
 from jacinthsail.internal.adapters.local_target import LocalTarget, TargetDialect
 from jacinthsail.internal.adapters.peer_links import PeerLinks
-from jacinthsail.internal.adapters.request_metrics import RequestMetrics
+from jacinthsail.internal.adapters.request_metrics import AccountFigures, RequestMetrics
 from jacinthsail.internal.adapters.store_exchange import StoreExchange
 from jacinthsail.internal.adapters.store_follower import StoreClient, StoreFollower
 from jacinthsail.internal.commands.fleet import (
@@ -55,7 +56,7 @@
     target_count,
     targets_on_host,
 )
-from jacinthsail.internal.queries.freshness import new_freshness
+from jacinthsail.internal.queries.freshness import knowledge_age_s, new_freshness
 from jacinthsail.internal.queries.retry_budget import new_retry_budget
 from jacinthsail.internal.queries.stopping import stop_schedule
 from jacinthsail.internal.queries.store_copy import new_store_copy
@@ -243,12 +244,28 @@
         self, request: HttpRequest, respond: ResponseCallback
     ) -> RequestHandle | None:
         content, headers = self.metrics.page(
-            self.fleet, self.target_queue, self.reading, self.sources, self.links.traffic
+            self.fleet,
+            self.target_queue,
+            self.reading,
+            self.sources,
+            self.links.traffic,
+            self._account_figures(),
         )
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         respond(HttpResponse(200, lines.encode("ascii"), content))
         return None
 
+    def _account_figures(self) -> AccountFigures:
+        manifest = self.fleet["manifest"]
+        accounts = None if manifest is None else manifest.accounts
+        return AccountFigures(
+            listed=None if accounts is None else len(accounts.by_name),
+            buckets=len(self.caps.home["buckets"]),
+            knowledge_age_s=knowledge_age_s(self.freshness, boot_time()),
+            era=self.copy["era"],
+            outcomes=self.caps.counts,
+        )
+
     def reload_settings(self) -> None:
         """Reload the settings; changes to ports take effect at the next start."""
         match self.read_settings():
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -2,6 +2,7 @@
 
 import collections
 from bisect import bisect_left
+from typing import NamedTuple
 
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
@@ -18,6 +19,20 @@
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
 
+class AccountFigures(NamedTuple):
+    """What a node knows about accounts; ``listed`` is None if callers have none.
+
+    ``buckets`` is the number of accounts that the node is home to. ``outcomes`` counts the requests
+    that were refused or ran without a token, by account and reason.
+    """
+
+    listed: int | None
+    buckets: int
+    knowledge_age_s: float
+    era: int
+    outcomes: collections.Counter[tuple[str, str]]
+
+
 class RequestMetrics:
     """Counts the requests of a node and their latencies."""
 
@@ -42,9 +57,12 @@
         reading: StoreReadState,
         sources: StoreSources,
         traffic: TrafficState,
+        accounts: AccountFigures,
     ) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers."""
         registry = Registry()
+        if accounts.listed is not None:
+            _render_accounts(registry, accounts)
         requests = Counter(
             "jacinthsail_requests", "Requests by route, status and reason", registry=registry
         )
@@ -80,6 +98,7 @@
                 traffic["control_bytes_received"],
             ),
             "manifest_version": ("Version of the manifest in force", manifest_version(fleet)),
+            "store_era": ("How often the store has gone back to an older state", accounts.era),
         }
         for name, (doc, value) in gauges.items():
             Gauge(f"jacinthsail_{name}", doc, registry=registry).set({}, value)
@@ -106,3 +125,23 @@
                 buckets.set({"route": route, "le": str(bound)}, total)
             sums.set({"route": route}, self.latency_sums[route])
             counts.set({"route": route}, total)
+
+
+def _render_accounts(registry: Registry, accounts: AccountFigures) -> None:
+    gauges = {
+        "accounts": ("Accounts in the manifest in force", float(accounts.listed or 0)),
+        "cap_buckets": ("Accounts whose requests this node counts", float(accounts.buckets)),
+        "knowledge_age_s": (
+            "Largest possible age of what this node knows of the store, in seconds",
+            accounts.knowledge_age_s,
+        ),
+    }
+    for name, (doc, value) in gauges.items():
+        Gauge(f"jacinthsail_{name}", doc, registry=registry).set({}, value)
+    outcomes = Counter(
+        "jacinthsail_account_requests",
+        "Requests that were refused for their account or ran without a token",
+        registry=registry,
+    )
+    for (account, outcome), count in accounts.outcomes.items():
+        outcomes.set({"account": account, "outcome": outcome}, count)
--- a/tests/fast/test_account_path.py
+++ b/tests/fast/test_account_path.py
@@ -50,6 +50,8 @@
             self.assertNotIn(KEY, str(execution))
             page = await self.metrics_page(testbed)
             self.assertNotIn(KEY.encode(), page)
+            self.assertIn(b"jacinthsail_accounts 1", page)
+            self.assertIn(b"jacinthsail_knowledge_age_s ", page)
 
     async def metrics_page(self, testbed):
         reader, writer = await asyncio.open_connection(testbed.host(1), METRICS_PORT)
