Bound the memory and descriptors held for clients that nobody controls

Cause: limits concerned single requests, in heads and bodies only. Nothing bounded what all connections hold together, trailers, chunk extensions, unread responses, unfinished frames of peers, or the number of connections.

Change: a budget of bytes for callers and one for peers, from the memory limit of the VM. Beyond it the largest unfinished request is refused first, then the responses that are not read. Bodies are kept in one buffer, header objects are dropped when the request is sent on. A head within its limit is no longer counted too long when its lines have no space after the colon.

--- a/src/jacinthsail/internal/adapters/connection.py
+++ b/src/jacinthsail/internal/adapters/connection.py
@@ -93,6 +93,11 @@
         self.overdue_since: float | None = None
         self.keeps_open = False
         self.ignores_input = False
+        self.max_frame_bytes = MAX_FRAME_BYTES
+        self.accepted_at = 0.0
+        self.buffered_bytes = 0
+        # Called with the change in the bytes of the incomplete frame.
+        self.on_buffered: Callable[[int], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and initialize the timestamps."""
@@ -100,6 +105,7 @@
         transport.set_write_buffer_limits(high=0)
         self.transport = transport
         now = asyncio.get_running_loop().time()
+        self.accepted_at = now
         self.last_received = now
         self.last_used = now
         self.next_heartbeat = now
@@ -112,15 +118,24 @@
         self.buffer += data
         while len(self.buffer) >= LENGTH_PREFIX.size and self.transport is not None:
             (length,) = LENGTH_PREFIX.unpack_from(self.buffer)
-            if length > MAX_FRAME_BYTES:
+            if length > self.max_frame_bytes:
                 self.abort()
                 return
             end = LENGTH_PREFIX.size + length
             if len(self.buffer) < end:
-                return
+                break
             payload = bytes(self.buffer[LENGTH_PREFIX.size : end])
             del self.buffer[:end]
             self._deliver(payload)
+        self._count_buffered()
+
+    def _count_buffered(self) -> None:
+        if self.on_buffered is None:
+            return
+        change = len(self.buffer) - self.buffered_bytes
+        self.buffered_bytes = len(self.buffer)
+        if change:
+            self.on_buffered(change)
 
     def _deliver(self, payload: bytes) -> None:
         match decode_payload(payload, self.peer_vm or "peer"):
@@ -142,6 +157,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner that the connection is closed."""
         self.transport = None
+        self.buffer.clear()
+        self._count_buffered()
         # Wakes the task that waits for the hello of the peer.
         self.handshake_done.set()
         self.on_closed(self)
--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -318,7 +318,9 @@
 
     __slots__ = (
         "entry",
-        "request",
+        "method",
+        "url",
+        "body",
         "accepted",
         "request_state",
         "respond",
@@ -337,7 +339,9 @@
         now: float,
     ) -> None:
         self.entry = entry
-        self.request = request
+        self.method = request.method
+        self.url = request.url
+        self.body = request.body
         self.accepted = accepted
         self.head_lines = entry.dialect.head_lines(
             request, entry.location.service, entry.account_name(accepted.account)
@@ -406,8 +410,8 @@
         request_state = self.request_state
         return ForwardedRequest(
             request_id=request_state["request_info"].request_id,
-            method=self.request.method,
-            url=self.request.url,
+            method=self.method,
+            url=self.url,
             service=request_state["service"],
             incarnation=target.incarnation,
             repeatable=is_repeatable(request_state),
@@ -417,7 +421,7 @@
             max_queue_wait_s=max_queue_wait_s(request_state, now),
             latency_goal_s=latency_goal_s(request_state),
             head_lines=self.head_lines,
-            body=self.request.body,
+            body=self.body,
         )
 
     def on_outcome(self, outcome: ForwardedOutcome) -> None:
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -13,6 +13,7 @@
 from jacinthsail.errors import ConfigurationError, describe
 from jacinthsail.internal.adapters.account_caps import AccountCaps
 from jacinthsail.internal.adapters.boot_clock import boot_time
+from jacinthsail.internal.adapters.caller_memory import CallerMemory
 from jacinthsail.internal.adapters.entry import CallerDialect, RequestRouter
 from jacinthsail.internal.adapters.http_server import (
     SWEEP_INTERVAL_S,
@@ -57,6 +58,11 @@
     targets_on_host,
 )
 from jacinthsail.internal.queries.freshness import knowledge_age_s, new_freshness
+from jacinthsail.internal.queries.held_memory import (
+    CALLERS_SHARE,
+    max_caller_connections,
+    new_held_memory,
+)
 from jacinthsail.internal.queries.retry_budget import new_retry_budget
 from jacinthsail.internal.queries.stopping import stop_schedule
 from jacinthsail.internal.queries.store_copy import new_store_copy
@@ -69,6 +75,9 @@
 # Used until the first manifest sets the limits.
 INITIAL_LIMITS = ServerLimits(16 * 1024, 16 * 1024 * 1024, 3.0, 15.0)
 
+# Limits of the ports for readiness and metrics, whose requests have no body.
+PROBE_LIMITS = ServerLimits(16 * 1024, 64 * 1024, 3.0, 15.0)
+
 # A body is sent between nodes in a single frame, which limits its size.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
@@ -152,6 +161,7 @@
             self._on_peer_draining,
             self._on_peer_silent,
             self.exchange,
+            settings.memory,
         )
         self.caps = AccountCaps(self.fleet, self.freshness, settings.caps, self.links)
         self.links.caps = self.caps
@@ -168,9 +178,13 @@
             self.caps,
             Random(incarnation),
         )
-        self.callers_port = CallerServer(self.router.serve, INITIAL_LIMITS)
-        self.readiness_port = CallerServer(self._serve_readiness, INITIAL_LIMITS)
-        self.metrics_port = CallerServer(self._serve_metrics, INITIAL_LIMITS)
+        memory = CallerMemory(
+            new_held_memory(settings.memory, CALLERS_SHARE),
+            max_caller_connections(settings.memory),
+        )
+        self.callers_port = CallerServer(self.router.serve, INITIAL_LIMITS, memory)
+        self.readiness_port = CallerServer(self._serve_readiness, PROBE_LIMITS, memory)
+        self.metrics_port = CallerServer(self._serve_metrics, PROBE_LIMITS, memory)
         follower = StoreFollower(
             self.dialects.store,
             self.reading,
@@ -250,6 +264,7 @@
             self.sources,
             self.links.traffic,
             self._account_figures(),
+            {"callers": self.callers_port.memory.memory, "peers": self.links.held},
         )
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         respond(HttpResponse(200, lines.encode("ascii"), content))
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import sys
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -13,8 +14,18 @@
 
 import httptools
 
+from jacinthsail.internal.adapters.caller_memory import CallerMemory
 from jacinthsail.internal.adapters.decision_log import log_request
 from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.held_memory import HeldMemory, HolderView
+from jacinthsail.internal.model.statuses import STATUS_NOT_RUN
+from jacinthsail.internal.queries.held_memory import (
+    HEADER_OBJECT_BYTES,
+    RETRY_AFTER_EVICTION_S,
+    Holding,
+    may_send_framing,
+    may_take_request,
+)
 
 _LOG = logging.getLogger("jacinthsail.callers")
 
@@ -37,11 +48,14 @@
 # the exception.
 STATUS_SERVE_FAILED = 502
 
+RETRY_LINE = b"Retry-After: %.3f\r\n" % RETRY_AFTER_EVICTION_S
+
 _REJECTIONS = {
     STATUS_BAD_REQUEST: Reason.MALFORMED_REQUEST,
     STATUS_REQUEST_TIMEOUT: Reason.SLOW_CALLER,
     STATUS_BODY_TOO_LARGE: Reason.BODY_TOO_LARGE,
     STATUS_HEADERS_TOO_LARGE: Reason.HEADERS_TOO_LARGE,
+    STATUS_NOT_RUN: Reason.MEMORY_USED_UP,
 }
 
 _STATUS_LINES = {
@@ -89,10 +103,17 @@
 class PendingResponse:
     """A response that is written once all earlier responses of its connection are written."""
 
-    __slots__ = ("connection", "handle", "response", "closes", "is_head")
+    __slots__ = ("connection", "handle", "response", "closes", "is_head", "request_bytes")
 
-    def __init__(self, connection: "CallerConnection", closes: bool, is_head: bool) -> None:
+    def __init__(
+        self,
+        connection: "CallerConnection",
+        closes: bool,
+        is_head: bool,
+        request_bytes: int = 0,
+    ) -> None:
         self.connection = connection
+        self.request_bytes = request_bytes
         self.handle: RequestHandle | None = None
         self.response: HttpResponse | None = None
         self.closes = closes
@@ -104,15 +125,19 @@
             return
         self.response = response
         self.handle = None
+        self.connection.replace_request_by_response(self)
         self.connection.flush()
 
 
 class CallerServer:
     """A listening port and the connections that it accepted."""
 
-    def __init__(self, serve: ServeCallback, limits: ServerLimits) -> None:
+    def __init__(
+        self, serve: ServeCallback, limits: ServerLimits, memory: CallerMemory | None = None
+    ) -> None:
         self.serve = serve
         self.limits = limits
+        self.memory = memory or unlimited_memory()
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
         self.is_closing = False
@@ -159,9 +184,16 @@
         self.pending: deque[PendingResponse] = deque()
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.header_bytes = 0
+        self.head_size = 0
+        self.framing_bytes = 0
+        self.received_at = 0.0
+        # What is counted in the memory of the process for the request that arrives, for requests in
+        # progress and for responses.
+        self.incomplete_bytes = 0
+        self.pending_bytes = 0
+        self.unread_bytes = 0
         self.in_head = False
         self.in_message = False
         self.message_started_at = 0.0
@@ -176,12 +208,22 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.idle_since = asyncio.get_running_loop().time()
+        memory = self.server.memory
+        if not memory.make_room(self.idle_since):
+            transport.abort()
+            return
+        memory.holders.add(self)
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
         self.transport = None
         self.server.connections.discard(self)
+        self.server.memory.holders.discard(self)
+        self._drop_request()
+        self._count(-self.pending_bytes - self.unread_bytes)
+        self.pending_bytes = 0
+        self.unread_bytes = 0
         unanswered = [
             pending_response.handle
             for pending_response in self.pending
@@ -196,8 +238,11 @@
         """Parse received bytes."""
         if self.ignores_input:
             return
+        self.received_at = asyncio.get_running_loop().time()
         if not self.in_message or self.in_head:
             self.header_bytes += len(data)
+        else:
+            self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -207,13 +252,68 @@
             return
         if self.in_head and self.header_bytes > self.server.limits.max_header_bytes:
             self._reject(STATUS_HEADERS_TOO_LARGE)
+            return
+        if not self.in_message:
+            return
+        max_header_bytes = self.server.limits.max_header_bytes
+        if not may_send_framing(self.framing_bytes, len(self.body), max_header_bytes):
+            self._reject(STATUS_BAD_REQUEST)
+            return
+        self._count_incomplete()
+
+    def _count_incomplete(self) -> None:
+        """Count what is held for the request that arrives; this may end the request."""
+        held = len(self.body) + self._head_cost()
+        difference = held - self.incomplete_bytes
+        self.incomplete_bytes = held
+        self._count(difference)
+
+    def _head_cost(self) -> int:
+        received = self.header_bytes if self.in_head else self.head_size
+        return received + len(self.headers) * HEADER_OBJECT_BYTES
+
+    def _count(self, difference: int) -> None:
+        if difference:
+            self.server.memory.change(difference, asyncio.get_running_loop().time())
+
+    def _drop_request(self) -> None:
+        """Forget the request that arrives."""
+        self.headers = []
+        self.head_size = 0
+        self.body = bytearray()
+        held = self.incomplete_bytes
+        self.incomplete_bytes = 0
+        self._count(-held)
+
+    def holding(self) -> HolderView:
+        """Return what the connection holds that may be given up."""
+        if self.transport is None or self.transport.is_closing():
+            return HolderView(0, 0)
+        return HolderView(self.incomplete_bytes, self.unread_bytes)
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or arriving."""
+        return not self.pending and not self.in_message and not self.unread_bytes
+
+    def evict(self, holding: Holding) -> None:
+        """Refuse the request that arrives, or give up the responses that are not read."""
+        if holding is Holding.INCOMPLETE_REQUEST:
+            self._reject(STATUS_NOT_RUN)
+            return
+        self.abort()
+        self._count(-self.unread_bytes)
+        self.unread_bytes = 0
+
+    def close_idle(self) -> None:
+        """Close the connection, on which no request is in progress."""
+        self._close()
 
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.url = b""
         self.headers = []
-        self.body = []
-        self.body_bytes = 0
+        self.body = bytearray()
+        self.framing_bytes = 0
         self.in_head = True
         self.in_message = True
         self.expects_continue = False
@@ -237,8 +337,10 @@
         self.in_head = False
         size = len(self.url)
         for name, value in self.headers:
-            size += len(name) + len(value) + 4
+            # A line has a colon and a line end besides; an optional space is not counted.
+            size += len(name) + len(value) + 3
         self.header_bytes = 0
+        self.head_size = size
         if size > self.server.limits.max_header_bytes:
             self._reject(STATUS_HEADERS_TOO_LARGE)
             return
@@ -249,11 +351,11 @@
         """Collect a part of the body."""
         if self.ignores_input:
             return
-        self.body_bytes += len(data)
-        if self.body_bytes > self.server.limits.max_body_bytes:
+        self.framing_bytes -= len(data)
+        if len(self.body) + len(data) > self.server.limits.max_body_bytes:
             self._reject(STATUS_BODY_TOO_LARGE)
             return
-        self.body.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Serve a complete request."""
@@ -266,11 +368,18 @@
         closes = self.server.is_closing or not self.parser.should_keep_alive()
         # The parser reads nothing after a request to switch protocols, which is not done here.
         closes = closes or self.parser.should_upgrade()
-        pending = PendingResponse(self, closes, method == "HEAD")
+        request = HttpRequest(method, self.url, self.headers, bytes(self.body))
+        request_bytes = len(self.url) + len(self.body) + self._head_cost()
+        self._drop_request()
+        pending = PendingResponse(self, closes, method == "HEAD", request_bytes)
         if closes:
             self.ignores_input = True
         self.pending.append(pending)
-        request = HttpRequest(method, self.url, self.headers, b"".join(self.body))
+        self.pending_bytes += request_bytes
+        self._count(request_bytes)
+        if not may_take_request(self.server.memory.memory, request_bytes):
+            self._refuse_complete(pending)
+            return
         try:
             handle = self.server.serve(request, pending.respond)
         except Exception:
@@ -284,6 +393,32 @@
             self.is_paused = True
             self._pause_or_resume_reading()
 
+    def _refuse_complete(self, pending: PendingResponse) -> None:
+        """Refuse a request of which nothing has been sent on, because too much is held."""
+        now = asyncio.get_running_loop().time()
+        log_request("refused", "", Reason.MEMORY_USED_UP, now, status=STATUS_NOT_RUN)
+        pending.respond(HttpResponse(STATUS_NOT_RUN, RETRY_LINE, b""))
+
+    def replace_request_by_response(self, pending: PendingResponse) -> None:
+        """Count the response of a request instead of the request."""
+        assert pending.response is not None
+        if self.transport is None:
+            return
+        self.pending_bytes -= pending.request_bytes
+        response_bytes = len(pending.response.body)
+        self.unread_bytes += response_bytes
+        self._count(response_bytes - pending.request_bytes)
+
+    def _count_unread(self) -> None:
+        """Count the responses that wait for their turn and those that the kernel has not taken."""
+        unread = self.unsent_bytes()
+        for pending in self.pending:
+            if pending.response is not None:
+                unread += len(pending.response.body)
+        difference = unread - self.unread_bytes
+        self.unread_bytes = unread
+        self._count(difference)
+
     def pause_writing(self) -> None:
         """Read no more requests while the caller does not read the responses."""
         self.is_caller_slow = True
@@ -292,6 +427,7 @@
     def resume_writing(self) -> None:
         """Read requests again."""
         self.is_caller_slow = False
+        self._count_unread()
         self._pause_or_resume_reading()
 
     def _pause_or_resume_reading(self) -> None:
@@ -315,6 +451,7 @@
             )
             if closes:
                 self._half_close()
+        self._count_unread()
         if not self.pending:
             self.idle_since = asyncio.get_running_loop().time()
         if self.is_paused and len(self.pending) < MAX_PIPELINED:
@@ -327,6 +464,10 @@
         if self.in_head and now - self.message_started_at > limits.header_timeout_s:
             self._reject(STATUS_REQUEST_TIMEOUT)
             return
+        is_stalled = now - self.received_at > limits.idle_timeout_s
+        if self.in_message and not self.in_head and is_stalled:
+            self._reject(STATUS_REQUEST_TIMEOUT)
+            return
         if self.pending or self.in_message:
             return
         if now - self.idle_since > limits.idle_timeout_s and self.transport is not None:
@@ -374,11 +515,18 @@
         self.ignores_input = True
         self.in_message = False
         self.in_head = False
+        self._drop_request()
         now = asyncio.get_running_loop().time()
         log_request("refused", "", _REJECTIONS[status], now, status=status)
         pending = PendingResponse(self, True, False)
         self.pending.append(pending)
-        pending.respond(HttpResponse(status, b"", b""))
+        head_lines = RETRY_LINE if status == STATUS_NOT_RUN else b""
+        pending.respond(HttpResponse(status, head_lines, b""))
+
+
+def unlimited_memory() -> CallerMemory:
+    """Return the account of a server that holds as much as its callers send."""
+    return CallerMemory(HeldMemory(limit=sys.maxsize, held=0, evicted=0), sys.maxsize)
 
 
 def encode_response(response: HttpResponse, closes: bool, is_head: bool) -> bytes:
--- a/src/jacinthsail/internal/adapters/peer_links.py
+++ b/src/jacinthsail/internal/adapters/peer_links.py
@@ -15,7 +15,10 @@
     PendingPeerRequest,
     StoreSharing,
 )
+from jacinthsail.internal.adapters.wire import MAX_FRAME_BYTES
+from jacinthsail.internal.commands.held_memory import hold, record_eviction
 from jacinthsail.internal.model.calls import Reason, Unknown
+from jacinthsail.internal.model.held_memory import MemoryLimits
 from jacinthsail.internal.model.messages import (
     BucketTransfer,
     Cancel,
@@ -35,12 +38,23 @@
 )
 from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.request_state import ForwardedOutcome, ForwardedRequest
+from jacinthsail.internal.queries.held_memory import (
+    PEERS_SHARE,
+    is_exceeded,
+    max_peer_connections,
+    new_held_memory,
+)
 from jacinthsail.internal.queries.target_queue import load_report
 
 _LOG = logging.getLogger("jacinthsail.peers")
 
 SILENCE_CHECK_INTERVAL_S = 0.2
 
+# A node sends its hello right after it has opened a connection. Whoever does not send one is no
+# node, and can send no large frame.
+HELLO_TIMEOUT_S = 3.0
+MAX_HELLO_BYTES = 64 * 1024
+
 
 class PeerLinks:
     """All connections between this node and its peers, in both directions."""
@@ -56,6 +70,7 @@
         on_peer_draining: PeerCallback,
         on_peer_silent: PeerCallback,
         sharing: StoreSharing,
+        memory: MemoryLimits,
     ) -> None:
         self.hello = hello
         self.port = port
@@ -66,6 +81,8 @@
         self.on_peer_draining = on_peer_draining
         self.on_peer_silent = on_peer_silent
         self.sharing = sharing
+        self.held = new_held_memory(memory, PEERS_SHARE)
+        self.max_inbound = max_peer_connections(memory)
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, PeerLink] = {}
         self.bulk_links: dict[str, PeerLink] = {}
@@ -85,15 +102,47 @@
 
     def _accept(self) -> PeerConnection:
         connection = PeerConnection(self.deliver, self._on_inbound_closed, self.traffic)
+        connection.max_frame_bytes = MAX_HELLO_BYTES
+        connection.on_buffered = self._count_buffered
         self.inbound[connection] = {}
+        if len(self.inbound) > self.max_inbound:
+            self._close_stranger()
         return connection
 
+    def _close_stranger(self) -> None:
+        """Close the oldest connection whose peer has not introduced itself."""
+        for connection in self.inbound:
+            if not connection.handshake_done.is_set() and connection.transport is not None:
+                connection.abort()
+                return
+
+    def _count_buffered(self, change: int) -> None:
+        """Count the bytes of incomplete frames, and close the connection with the most of them."""
+        hold(self.held, change)
+        if change < 0 or not is_exceeded(self.held):
+            return
+        largest = max(self.inbound, key=lambda connection: connection.buffered_bytes)
+        record_eviction(self.held)
+        _LOG.warning(
+            "closed a connection of a peer that had sent %d bytes of a frame; %d are held",
+            largest.buffered_bytes,
+            self.held["held"],
+        )
+        largest.abort()
+
+    def _close_silent_strangers(self, now: float) -> None:
+        for connection in tuple(self.inbound):
+            is_late = now - connection.accepted_at > HELLO_TIMEOUT_S
+            if is_late and not connection.handshake_done.is_set():
+                connection.abort()
+
     def _check_links(self) -> None:
         self.timer = self.loop.call_later(SILENCE_CHECK_INTERVAL_S, self._check_links)
         now = self.loop.time()
         # A request that is sent elsewhere may open the first connection to another peer.
         for link in (*self.links.values(), *self.bulk_links.values()):
             link.check_silence(now)
+        self._close_silent_strangers(now)
 
     def send(
         self, host: str, forwarded: ForwardedRequest, is_bulk: bool, on_outcome: OnOutcome
@@ -179,6 +228,8 @@
 
 @_handle_request.register
 def _(message: Hello, links: PeerLinks, connection: PeerConnection) -> None:
+    connection.max_frame_bytes = MAX_FRAME_BYTES
+    connection.handshake_done.set()
     connection.send(links.hello)
     if links.is_draining:
         connection.send(Goodbye())
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -9,6 +9,7 @@
 
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.fleet import FleetState
+from jacinthsail.internal.model.held_memory import HeldMemory
 from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.store import StoreReadState
 from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
@@ -58,6 +59,7 @@
         sources: StoreSources,
         traffic: TrafficState,
         accounts: AccountFigures,
+        memory: dict[str, HeldMemory],
     ) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers."""
         registry = Registry()
@@ -69,6 +71,7 @@
         for (route, status, reason), count in self.outcomes.items():
             requests.set({"route": route, "status": str(status), "reason": reason.value}, count)
         self._render_latencies(registry)
+        _render_memory(registry, memory)
         gauges = {
             "in_flight": ("Requests in flight at the local target", queue["in_flight"]),
             "queued": ("Requests queued for the local target", len(queue["waiting_by_ticket"])),
@@ -127,6 +130,16 @@
             counts.set({"route": route}, total)
 
 
+def _render_memory(registry: Registry, memory: dict[str, HeldMemory]) -> None:
+    held = Gauge("jacinthsail_held_bytes", "Bytes held, by kind of client", registry=registry)
+    evicted = Counter(
+        "jacinthsail_evicted", "Connections closed to hold no more memory", registry=registry
+    )
+    for kind, one in memory.items():
+        held.set({"kind": kind}, one["held"])
+        evicted.set({"kind": kind}, one["evicted"])
+
+
 def _render_accounts(registry: Registry, accounts: AccountFigures) -> None:
     gauges = {
         "accounts": ("Accounts in the manifest in force", float(accounts.listed or 0)),
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -54,6 +54,7 @@
     ACCOUNT_KEY_UNKNOWN = "account-key-unknown"
     KEYS_NOT_PROVEN = "keys-not-proven"
     ACCOUNT_OVER_CAP = "account-over-cap"
+    MEMORY_USED_UP = "memory-used-up"
     CAP_NOT_KNOWN = "cap-not-known"
 
 
--- a/src/jacinthsail/internal/model/fleet_settings.py
+++ b/src/jacinthsail/internal/model/fleet_settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from jacinthsail.internal.model.fleet import NodeLocation
+from jacinthsail.internal.model.held_memory import MemoryLimits
 from jacinthsail.internal.model.settings import Endpoint
 
 
@@ -37,6 +38,7 @@
     signal and the end of the process, and ``heartbeat_s`` the interval at which targets renew their
     entries in the store. A withdrawn key must be refused at every node after ``revocation_s``; None
     means that nodes refuse it once they know. ``caps`` says by how much caps may be exceeded.
+    ``memory`` takes effect at the start of the process.
     """
 
     location: NodeLocation
@@ -52,3 +54,4 @@
     log_buffer_lines: int
     revocation_s: float | None = None
     caps: CapSettings = CapSettings(5.0, 0.0, 0.0)
+    memory: MemoryLimits = MemoryLimits(200 * 1024 * 1024, 3900)
--- a/src/jacinthsail/platform/settings.py
+++ b/src/jacinthsail/platform/settings.py
@@ -13,6 +13,7 @@
     FleetSettings,
     RetryBudgetSettings,
 )
+from jacinthsail.internal.model.held_memory import MemoryLimits
 from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.platform.values import (
     DECODE_ERRORS,
@@ -28,6 +29,12 @@
 
 LOG_BUFFER_LINES = 2000
 
+# Used where the platform states no limits; the smallest VMs have these.
+DEFAULT_MEMORY_MB = 200
+DEFAULT_DESCRIPTORS = 4100
+FILE_DESCRIPTORS = 200
+BYTES_PER_MB = 1024 * 1024
+
 # Used where the platform sets no bound across nodes; without overage, nodes rely on homes alone.
 DEFAULT_CAP_WINDOW_S = 5.0
 
@@ -91,6 +98,17 @@
         log_buffer_lines=LOG_BUFFER_LINES,
         revocation_s=_revocation_s(bounds),
         caps=_caps(bounds),
+        memory=_memory(table.get("limits", {})),
+    )
+
+
+def _memory(limits: dict[str, Any]) -> MemoryLimits:
+    """Return the limits of the process; the platform reserves some descriptors for files."""
+    memory_mb = limits.get("memoryMb") or DEFAULT_MEMORY_MB
+    max_descriptors = limits.get("maxFds") or DEFAULT_DESCRIPTORS
+    return MemoryLimits(
+        memory_bytes=int(finite_number(memory_mb) * BYTES_PER_MB),
+        max_sockets=max(1, int(finite_number(max_descriptors)) - FILE_DESCRIPTORS),
     )
 
 
--- a/tests/common/run_suite.py
+++ b/tests/common/run_suite.py
@@ -28,6 +28,9 @@
 # The tests of this class share no fixture, so they may run in different processes.
 SPLIT_CLASS = "ScenariosTest"
 
+# The tests of this module measure the memory of a process, so they run after all others.
+ALONE_MODULE = "tests.slow.test_hostile_callers"
+
 
 class Outcomes(NamedTuple):
     """Ids of the tests of one process by outcome."""
@@ -66,6 +69,8 @@
     groups = {}
     for test in tests_in(suite):
         name = test.id()
+        if name.startswith(ALONE_MODULE):
+            continue
         group = name if SPLIT_CLASS in name else name.rpartition(".")[0]
         groups.setdefault(group, name if group == name else group)
     shares = [[] for _ in range(count)]
@@ -99,13 +104,16 @@
 
 
 async def run_in_parallel():
-    """Run all tests in parallel subprocesses."""
+    """Run all tests in parallel subprocesses, and then those that need to run alone."""
     parts = [["-s", "tests/fast", "-t", str(ROOT)]]
     for share in partition_slow_tests(SLOW_PROCESSES):
         parts.append(["-s", str(ROOT), "-t", str(ROOT), *share])
     with tempfile.TemporaryDirectory(prefix="jacinthsail-suite-") as folder:
         runs = [run_in_subprocess(part, folder, number) for number, part in enumerate(parts)]
-        return await asyncio.gather(*runs)
+        outcomes = await asyncio.gather(*runs)
+        alone = ["-s", str(ROOT), "-t", str(ROOT), ALONE_MODULE]
+        outcomes.append(await run_in_subprocess(alone, folder, len(parts)))
+        return outcomes
 
 
 def report_outcomes(parts):
