End an exchange whose status HTTP does not have

Cause: everything below 200 counted as an interim response, so after status 000 the caller waited to its time limit on a connection that stayed in use. A status from 600 on, and any status in a peer's reply, reached the caller.

--- a/src/jacinthsail/internal/adapters/exchange.py
+++ b/src/jacinthsail/internal/adapters/exchange.py
@@ -18,6 +18,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from jacinthsail.internal.model.statuses import MAX_STATUS, MIN_FINAL_STATUS, MIN_STATUS
+
 _READ_BUFFER_BYTES = 1 << 16
 
 
@@ -89,10 +91,12 @@
     assert connection.protocol is not None
     try:
         message, payload = await connection.protocol.read()
-        while 100 <= message.code < 200:
+        while MIN_STATUS <= message.code < MIN_FINAL_STATUS:
             message, payload = await connection.protocol.read()
     except HttpProcessingError as error:
         raise aiohttp.ClientConnectionError(f"malformed response: {error}") from error
+    if not MIN_FINAL_STATUS <= message.code <= MAX_STATUS:
+        raise aiohttp.ClientConnectionError(f"status {message.code} is not a status of HTTP")
     body = await payload.read() if require_complete else await _read_partial(payload)
     return TargetResponse(message.code, message.headers, body)
 
--- a/src/jacinthsail/internal/adapters/forward_records.py
+++ b/src/jacinthsail/internal/adapters/forward_records.py
@@ -13,6 +13,7 @@
 from jacinthsail.internal.model.messages import ForwardReplyMessage, ForwardRequestMessage
 from jacinthsail.internal.model.request_state import ForwardedRequest, ForwardedResponse
 from jacinthsail.internal.model.retry_budget import RetryKind
+from jacinthsail.internal.model.statuses import MAX_STATUS, MIN_FINAL_STATUS
 
 # Id, whether the request is repeatable, kind of retry, rank, three times in ms, then the lengths in
 # bytes of request id, method, URL, service, incarnation and header lines. These fields follow in
@@ -179,6 +180,8 @@
         KindLoad(new_duration_us / MICROSECONDS, new_wait_us / MICROSECONDS),
         KindLoad(nested_duration_us / MICROSECONDS, nested_wait_us / MICROSECONDS),
     )
+    if kind == _RESPONSE and not MIN_FINAL_STATUS <= status <= MAX_STATUS:
+        return ForwardReplyMessage(forward_id, Unknown(Reason.INCOMPLETE_ANSWER, 0), load)
     if kind == _RESPONSE:
         head_lines = record[_REPLY.size : body_at]
         response = ForwardedResponse(status, head_lines, record[body_at:], bool(is_shed))
--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from jacinthsail.internal.model.statuses import MAX_STATUS, MIN_FINAL_STATUS, MIN_STATUS
+
 # A response is sent between nodes in a single frame, which limits its size.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
@@ -202,8 +204,11 @@
             self._fail("response has too many headers")
 
     def on_headers_complete(self) -> None:
-        """Complete the response to a HEAD request, which has no body."""
+        """Check the status, and complete the response to a HEAD request, which has no body."""
         self.is_head_complete = True
+        if not MIN_STATUS <= self.parser.get_status_code() <= MAX_STATUS:
+            self._fail(f"status {self.parser.get_status_code()} is not a status of HTTP")
+            return
         if self.is_head and self.on_result is not None:
             self.must_close = True
             self._complete()
@@ -230,7 +235,7 @@
         """Report a complete response, unless it belongs to another request."""
         if not self.in_message:
             return
-        if self.parser.get_status_code() < 200:
+        if self.parser.get_status_code() < MIN_FINAL_STATUS:
             self.in_message = False
             self._skip()
             return
--- a/src/jacinthsail/internal/model/statuses.py
+++ b/src/jacinthsail/internal/model/statuses.py
@@ -15,3 +15,8 @@
 
 # The account has used up its cap; the request has not run.
 STATUS_TOO_MANY_REQUESTS = 429
+
+# HTTP has no other statuses. Interim responses, below the first final status, precede a final one.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
