Let the soak withdraw keys of accounts

Cause: no run with real processes checked keys while nodes freeze, restart or are cut off.

Executions of a request that was sent more than 5 s after the withdrawal of its key, or that name another account, are violations that no fault excuses.

--- a/src/jacinthsail/testing/soak.py
+++ b/src/jacinthsail/testing/soak.py
@@ -41,6 +41,9 @@
 _PROXIES = flags.DEFINE_boolean(
     "proxies", False, "Whether proxies delay all links between nodes, and disturb them with faults."
 )
+_ACCOUNTS = flags.DEFINE_boolean(
+    "accounts", False, "Whether callers need keys, which manifests withdraw."
+)
 _KEEP = flags.DEFINE_string("keep", "", "Folder for the logs of failed runs.")
 
 
@@ -89,7 +92,14 @@
     """Execute the runs; exit with 1 if one of them broke a promise."""
     failed = False
     for seed in range(_SEED.value, _SEED.value + _RUNS.value):
-        plan = draw_plan(seed, _NODES.value, _LENGTH_S.value, _FAULTS.value, _PROXIES.value)
+        plan = draw_plan(
+            seed,
+            _NODES.value,
+            _LENGTH_S.value,
+            _FAULTS.value,
+            _PROXIES.value,
+            _ACCOUNTS.value,
+        )
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
             found = violations(record)
--- a/src/jacinthsail/testing/soak_checks.py
+++ b/src/jacinthsail/testing/soak_checks.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from jacinthsail.testing.soak_accounts import REVOCATION_S
 from jacinthsail.testing.soak_model import (
     GRACE_S,
     STILL_RUNNING,
@@ -36,6 +37,7 @@
         executions = by_request.get(attempt.request_id, [])
         found += response_violations(attempt, executions)
         found += loss_violations(attempt, executions, record["disturbances"])
+    found += account_violations(record)
     return found + drain_violations(record) + config_violations(record)
 
 
@@ -87,6 +89,23 @@
     return [Violation("LOST", attempt.request_id, text)]
 
 
+def account_violations(record: SoakRecord) -> list[Violation]:
+    """Return the executions with a key that was withdrawn too long before, or a wrong account.
+
+    Nothing excuses them: the bound holds for nodes that are cut off, frozen or restarted, too.
+    """
+    found = [Violation("ACCOUNT", one, "at a target") for one in record["wrong_accounts"]]
+    sent_at = {attempt.request_id: attempt.sent_at for attempt in record["attempts"]}
+    for execution in record["executions"]:
+        key = record["keys"].get(execution.request_id, "")
+        withdrawn_at = record["withdrawals"].get(key, STILL_RUNNING)
+        late_s = sent_at.get(execution.request_id, 0.0) - withdrawn_at - REVOCATION_S
+        if late_s > 0.0:
+            text = f"sent {late_s:.2f} s too late at a node; ran at node {execution.node}"
+            found.append(Violation("REVOKE", execution.request_id, text))
+    return found
+
+
 def is_answered_by_target(attempt: Attempt) -> bool:
     """Return whether the caller got the response of a target, which may be a failure."""
     return attempt.ending is Ending.ANSWERED and attempt.is_sealed
--- a/src/jacinthsail/testing/soak_clients.py
+++ b/src/jacinthsail/testing/soak_clients.py
@@ -51,6 +51,9 @@
     def is_in_use(self, node: int) -> bool:
         """Return whether the clients of a node receive new work."""
 
+    def key_line(self, request_id: str) -> str:
+        """Return the header line with the key of a request, if callers need one."""
+
     def is_whole(self, request_id: str, seal: str, body: bytes) -> bool:
         """Return whether a response is the complete one of a target."""
 
@@ -133,11 +136,14 @@
     return SentRequest(request_id, is_repeatable, False, limit_ms, now, False)
 
 
-def request_head(request: SentRequest, work_ms: int, calls: int, framing: str) -> bytes:
+def request_head(
+    context: ClientContext, request: SentRequest, work_ms: int, calls: int, framing: str
+) -> bytes:
     """Return the head of a request; its path says how long it takes and how many calls it makes."""
     method, name = ("GET", "lookup") if request.is_repeatable else ("POST", "filing")
     if request.is_moved:
         name = "moved"
+    framing += context.key_line(request.request_id)
     return (
         f"{method} /{name}/{work_ms}/{calls}/ HTTP/1.1\r\nHost: {HOST_HEADER}\r\n"
         f"X-Attempt-Id: {request.request_id}\r\nX-Deadline-Ms: {request.limit_ms}\r\n{framing}\r\n"
@@ -219,7 +225,7 @@
     body = b"" if is_repeatable else b"filed"
     framing = f"Content-Length: {len(body)}\r\n"
     work_ms = random.choice(context.work_ms)
-    head = request_head(request, work_ms, random.choice((0, 0, 1, 2)), framing)
+    head = request_head(context, request, work_ms, random.choice((0, 0, 1, 2)), framing)
     connection.writer.write(head + body)
     return await exchange(context, node, connection, request, limit_ms / 1000 + PATIENCE_S)
 
@@ -263,7 +269,7 @@
         if connection is None:
             continue
         request = new_request(context, True, SHORT_LIMIT_MS)
-        connection.writer.write(request_head(request, SHORT_LIMIT_WORK_MS, 0, ""))
+        connection.writer.write(request_head(context, request, SHORT_LIMIT_WORK_MS, 0, ""))
         wait_s = SHORT_LIMIT_MS / 1000 + context.random.uniform(0.0, LATENESS_S)
         await exchange(context, client.node, connection, request, wait_s)
         connection.writer.close()
@@ -279,7 +285,9 @@
         if connection is None:
             continue
         request = new_request(context, False, FILING_LIMIT_MS)
-        connection.writer.write(request_head(request, 30, 0, "Transfer-Encoding: chunked\r\n"))
+        connection.writer.write(
+            request_head(context, request, 30, 0, "Transfer-Encoding: chunked\r\n")
+        )
         for number in range(BODY_PARTS):
             await asyncio.sleep(BODY_PAUSE_S)
             connection.writer.write(b"5\r\npart%d\r\n" % number)
@@ -327,7 +335,7 @@
     while not ended.is_set() and not context.stopping.is_set():
         request = new_request(context, True, LOOKUP_LIMIT_MS)._replace(is_behind=bool(waiting))
         waiting.append(request)
-        connection.writer.write(request_head(request, PIPELINE_WORK_MS, 0, ""))
+        connection.writer.write(request_head(context, request, PIPELINE_WORK_MS, 0, ""))
         await asyncio.sleep(PIPELINE_INTERVAL_S)
     connection.writer.close()
     reading.cancel()
--- a/src/jacinthsail/testing/soak_fleet.py
+++ b/src/jacinthsail/testing/soak_fleet.py
@@ -11,6 +11,7 @@
 
 from jacinthsail.internal.adapters.http_client import BrokenExchange
 from jacinthsail.testing.platform_stand_ins import CallerStandIn, StoreStandIn
+from jacinthsail.testing.soak_accounts import SETTINGS_LINES, SoakAccounts
 from jacinthsail.testing.soak_clients import HOST_HEADER
 from jacinthsail.testing.soak_model import (
     GRACE_S,
@@ -62,7 +63,7 @@
 retryBudgetRatio = 0.2
 budgetWindow = "10s"
 budgetExtra = 50
-[platform]
+{accounts}[platform]
 address = "{store}"
 """
 
@@ -85,6 +86,7 @@
         self.stops: set[int] = set()
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 1
+        self.accounts = SoakAccounts(plan.seed, self.record) if plan.has_accounts else None
         # In front of the ports for peers, and of the store as each node sees it.
         self.peer_proxies: dict[int, LinkProxy] = {}
         self.store_proxies: dict[int, LinkProxy] = {}
@@ -136,6 +138,15 @@
         ready = sum(self.misses.get(each, 0) < MISSES_UNTIL_OUT for each in members)
         return ready < len(members) / 2
 
+    def key_line(self, request_id: str) -> str:
+        """Return the header line with the key of a request, if callers need one."""
+        return "" if self.accounts is None else self.accounts.header_line(request_id)
+
+    def check_headers(self, request_id: str, headers: list[tuple[bytes, bytes]]) -> None:
+        """Check the account that a target was told."""
+        if self.accounts is not None:
+            self.accounts.check_headers(request_id, headers)
+
     def is_whole(self, request_id: str, seal: str, body: bytes) -> bool:
         """Return whether a response is the complete one of a target."""
         incarnation, _, sealed_id = seal.partition(".")
@@ -173,15 +184,17 @@
             "headerTimeout": "3000ms",
             "idleTimeout": "15s",
         }
-        self.store.put(
-            "op/config",
-            {
-                "version": f"{self.version:08x}",
-                "routes": routes,
-                "services": services,
-                "limits": limits,
-            },
-        )
+        manifest: dict[str, Any] = {
+            "version": f"{self.version:08x}",
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        if self.accounts is not None:
+            manifest["tenants"] = self.accounts.tenants()
+        self.store.put("op/config", manifest)
+        if self.accounts is not None:
+            self.accounts.record_published(self.now())
         self.record["moves"].append(MovedRoute(moved_to, self.now()))
 
     async def start(self) -> None:
@@ -250,6 +263,7 @@
             outbound_port=OUTBOUND_PORT,
             ready_port=READY_PORT,
             store="{}:{}".format(*self.store_address(node)),
+            accounts="" if self.accounts is None else SETTINGS_LINES,
         )
 
     async def _watch_exit(self, node: int, process: asyncio.subprocess.Process) -> None:
--- a/src/jacinthsail/testing/soak_model.py
+++ b/src/jacinthsail/testing/soak_model.py
@@ -80,7 +80,12 @@
 
 
 class SoakRecord(TypedDict):
-    """What was seen in one run."""
+    """What was seen in one run.
+
+    ``keys`` holds the keys of the requests by their ids, ``withdrawals`` when the store
+    acknowledged the manifest without a key, and ``wrong_accounts`` the requests at targets with a
+    key or with the name of another account.
+    """
 
     attempts: list[Attempt]
     executions: list[Execution]
@@ -88,6 +93,9 @@
     moves: list[MovedRoute]
     disturbances: list[Disturbance]
     unexpected_exits: list[str]
+    keys: dict[str, str]
+    withdrawals: dict[str, float]
+    wrong_accounts: list[str]
 
 
 class Violation(NamedTuple):
@@ -239,7 +247,7 @@
     """One run: the nodes, the clients at each of them, and the actions in the order of time.
 
     With ``has_proxies`` set, peers and the store are reached through proxies that add
-    ``link_delay_s`` each way.
+    ``link_delay_s`` each way. With ``has_accounts`` set, callers need keys.
     """
 
     seed: int
@@ -249,6 +257,7 @@
     actions: tuple[Action, ...]
     has_proxies: bool
     link_delay_s: float
+    has_accounts: bool = False
 
 
 def new_record() -> SoakRecord:
@@ -260,4 +269,7 @@
         moves=[],
         disturbances=[],
         unexpected_exits=[],
+        keys={},
+        withdrawals={},
+        wrong_accounts=[],
     )
--- a/src/jacinthsail/testing/soak_plan.py
+++ b/src/jacinthsail/testing/soak_plan.py
@@ -41,20 +41,42 @@
 
 MEAN_LINK_GAP_S = 3.0
 
+MAX_WITHDRAWAL_GAP_S = 5.0
+
 # Shorter than the time for which a disturbance excuses a node.
 MAX_HOLD_S = 2.5
 MAX_BREAK_S = 2.5
 
 
 def draw_plan(
-    seed: int, nodes: int, length_s: float, with_faults: bool, with_proxies: bool = False
+    seed: int,
+    nodes: int,
+    length_s: float,
+    with_faults: bool,
+    with_proxies: bool = False,
+    with_accounts: bool = False,
 ) -> SoakPlan:
     """Return the plan of a seed; without faults, all actions are planned work.
 
-    The actions of a seed do not depend on ``with_proxies``, which adds further ones.
+    The actions of a seed do not depend on ``with_proxies`` or ``with_accounts``, which add further
+    ones.
     """
     plan = _draw_base_plan(seed, nodes, length_s, with_faults)
-    return _add_proxies(plan, with_faults) if with_proxies else plan
+    if with_proxies:
+        plan = _add_proxies(plan, with_faults)
+    return _add_accounts(plan) if with_accounts else plan
+
+
+def _add_accounts(plan: SoakPlan) -> SoakPlan:
+    """Withdraw keys at regular times, among the other actions."""
+    random = Random(f"accounts {plan.seed}")
+    actions = list(plan.actions)
+    at = WARM_UP_S
+    while at < plan.length_s:
+        actions.append(PublishManifest(at))
+        at += random.uniform(0.5, MAX_WITHDRAWAL_GAP_S)
+    ordered = sorted(actions, key=lambda action: action.at)
+    return plan._replace(actions=tuple(ordered), has_accounts=True)
 
 
 def _add_proxies(plan: SoakPlan, with_faults: bool) -> SoakPlan:
--- a/src/jacinthsail/testing/soak_target.py
+++ b/src/jacinthsail/testing/soak_target.py
@@ -45,6 +45,9 @@
     def now(self) -> float:
         """Return the time of the event loop."""
 
+    def check_headers(self, request_id: str, headers: list[tuple[bytes, bytes]]) -> None:
+        """Check the account that a target was told."""
+
     def service(self, node: int) -> str:
         """Return the service of a node's target."""
 
@@ -143,6 +146,7 @@
         self.request = request
         self.respond = respond
         self.request_id = header_of(request, b"x-attempt-id")
+        target.fleet.check_headers(self.request_id, request.headers)
         self.position = len(target.fleet.record["executions"])
         target.fleet.record["executions"].append(
             Execution(
--- a/tests/fast/test_soak_checks.py
+++ b/tests/fast/test_soak_checks.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from jacinthsail.testing.soak_accounts import ACCOUNT, REVOCATION_S, SoakAccounts
 from jacinthsail.testing.soak_checks import violations
 from jacinthsail.testing.soak_model import (
     STILL_RUNNING,
@@ -97,6 +98,30 @@
         self.record["moves"][1] = MovedRoute("drafts", 99.5)
         self.assertEqual(self.rules(moved, EXECUTION), [])
 
+    def test_key_that_was_withdrawn_too_long_before(self):
+        """Nothing excuses it, not even a fault of the node."""
+        self.record["disturbances"].append(Disturbance(1, "freeze", 100.5, False))
+        self.record["keys"]["r"] = "k0"
+        self.record["withdrawals"]["k0"] = ANSWERED.sent_at - REVOCATION_S + 0.1
+        self.assertEqual(self.rules(ANSWERED, EXECUTION), [])
+        self.record["withdrawals"]["k0"] = ANSWERED.sent_at - REVOCATION_S - 0.1
+        self.assertEqual(self.rules(ANSWERED, EXECUTION), ["REVOKE"])
+
+    def test_target_that_was_told_a_key_or_another_account(self):
+        accounts = SoakAccounts(1, self.record)
+        told = [(b"X-Tenant-Id", ACCOUNT.encode())]
+        accounts.check_headers("r", told)
+        accounts.check_headers("r.0", [])
+        self.assertEqual(self.record["wrong_accounts"], [])
+        for name, headers in (
+            ("r", [*told, (b"X-Api-Key", b"k0")]),
+            ("r", [(b"X-Tenant-Id", b"choir")]),
+            ("r", []),
+            ("r.0", told),
+        ):
+            accounts.check_headers(name, headers)
+        self.assertEqual(len(self.record["wrong_accounts"]), 4)
+
     def test_process_that_ended_by_itself(self):
         self.record["unexpected_exits"].append("node 1 ended with status 1")
         self.assertEqual(self.rules(ANSWERED, EXECUTION), ["EXIT"])
--- a/tests/fast/test_soak_clients.py
+++ b/tests/fast/test_soak_clients.py
@@ -25,6 +25,9 @@
     def callers_address(self, node):
         return HOST, PORT
 
+    def key_line(self, request_id):
+        return ""
+
     def is_in_use(self, node):
         return True
 
--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -16,8 +16,16 @@
 
 
 class SoakTest(unittest.TestCase):
-    def assert_held(self, seed, with_faults, length_s=LENGTH_S, with_proxies=False, nodes=NODES):
-        plan = draw_plan(seed, nodes, length_s, with_faults, with_proxies)
+    def assert_held(
+        self,
+        seed,
+        with_faults,
+        length_s=LENGTH_S,
+        with_proxies=False,
+        nodes=NODES,
+        with_accounts=False,
+    ):
+        plan = draw_plan(seed, nodes, length_s, with_faults, with_proxies, with_accounts)
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
         self.assertGreater(len(record["attempts"]), 1000)
@@ -46,6 +54,10 @@
         """Connections are reset, silenced and held one way, and targets spoil responses."""
         self.assert_held(850, with_faults=True, with_proxies=True)
 
+    def test_withdrawn_keys_under_faults(self):
+        """A node that was frozen, cut off or restarted went on to serve a withdrawn key."""
+        self.assert_held(1401, with_faults=True, with_proxies=True, with_accounts=True)
+
     def test_requests_that_outlast_the_node_of_their_target(self):
         """A filing of 3.4 s was cut with the node of its target, while its own node stopped."""
         self.assert_held(1200, with_faults=False, length_s=LONG_S, with_proxies=True, nodes=10)
