Admit whole chains, pace new targets, and answer where a request would go

Cause: while a service deep in a chain lacked room, nodes lowered their limit on new requests after about 20 failed ones, seconds too late, and each admitted request failed at one of its calls. A target that starts was given all of its slots at once. Operators could not ask what a node would decide.

Change: the node beside a target admits the share of new requests whose calls find room further on, important ranks first. Where the settings ask for it, a target that has just started or failed is given requests by how it answers. jacinthsail where asks a node where a request would go, with the functions that decide about real requests. The open request has a module of its own, and the costs of the steps for accounts are measured by measure_fleet.

--- a/src/jacinthsail/cli.py
+++ b/src/jacinthsail/cli.py
@@ -5,6 +5,7 @@
     jacinthsail check sections/ node.toml
     jacinthsail status --nodes 10.0.0.1:9103,10.0.0.2:9103
     jacinthsail explain --logs node-1.log,node-2.log 5094bd46
+    jacinthsail where --node 10.0.0.1:9464 --host drafts.example --path /drafts/7
     jacinthsail diff sections/billing.toml new/billing.toml
 """
 
@@ -18,6 +19,7 @@
 
 from jacinthsail.internal.adapters.tool import build_report
 from jacinthsail.internal.model.reports import (
+    AskWhere,
     CheckFiles,
     CompareSections,
     ExplainRequest,
@@ -25,6 +27,7 @@
     ShowStatus,
     ToolRequest,
 )
+from jacinthsail.internal.model.where import WhereQuestion
 
 EXIT_USAGE = 2
 DEFAULT_TIMEOUT_S = 5.0
@@ -85,6 +88,29 @@
     return Success(ExplainRequest(rest[0], tuple(values.logs)))
 
 
+def _where_flags() -> flags.FlagValues:
+    values = _flag_values()
+    flags.DEFINE_string("node", "", "Metrics port of a node as host:port.", flag_values=values)
+    flags.DEFINE_string("host", "", "Host of the request.", flag_values=values)
+    flags.DEFINE_string("path", "", "Path of the request.", flag_values=values)
+    flags.DEFINE_string("account", "", "Name of the caller's account.", flag_values=values)
+    flags.DEFINE_integer(
+        "remaining_ms", None, "Time that the caller will wait, in ms.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "timeout_s", DEFAULT_TIMEOUT_S, "Time to wait for the node, in s.", flag_values=values
+    )
+    return values
+
+
+def _where_request(values: flags.FlagValues, rest: list[str]) -> Result[ToolRequest, str]:
+    if not values.node or not values.host or not values.path or rest:
+        return Failure("name a node with --node host:port, and the request with --host and --path")
+    remaining_s = None if values.remaining_ms is None else values.remaining_ms / 1000
+    question = WhereQuestion(values.host, values.path, values.account, remaining_s)
+    return Success(AskWhere(values.node, question, values.timeout_s))
+
+
 def _diff_request(values: flags.FlagValues, paths: list[str]) -> Result[ToolRequest, str]:
     if len(paths) != 2:
         return Failure("name the section file in force and the changed one")
@@ -110,6 +136,12 @@
         _explain_flags,
         _explain_request,
     ),
+    "where": SubCommand(
+        "where [--json] --node HOST:PORT --host HOST --path PATH [--account NAME]",
+        "show where a request would go now, and why, without sending it",
+        _where_flags,
+        _where_request,
+    ),
     "diff": SubCommand(
         "diff [--json] OLD NEW",
         "show what a changed section would alter",
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -1,6 +1,7 @@
 """The service tree of a node that serves HTTP requests by host and path."""
 
 import asyncio
+import json
 import logging
 from collections.abc import Callable
 from random import Random
@@ -14,7 +15,7 @@
 from jacinthsail.internal.adapters.account_caps import AccountCaps
 from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.caller_memory import CallerMemory
-from jacinthsail.internal.adapters.entry import CallerDialect, RequestRouter
+from jacinthsail.internal.adapters.entry import RequestRouter
 from jacinthsail.internal.adapters.http_server import (
     SWEEP_INTERVAL_S,
     CallerServer,
@@ -25,6 +26,8 @@
     ServerLimits,
 )
 from jacinthsail.internal.adapters.local_target import LocalTarget, TargetDialect
+from jacinthsail.internal.adapters.open_request import CallerDialect
+from jacinthsail.internal.adapters.operator_requests import where_question
 from jacinthsail.internal.adapters.peer_links import PeerLinks
 from jacinthsail.internal.adapters.request_metrics import AccountFigures, RequestMetrics
 from jacinthsail.internal.adapters.store_exchange import StoreExchange
@@ -36,6 +39,7 @@
     record_target_unreachable,
 )
 from jacinthsail.internal.commands.freshness import set_revocation
+from jacinthsail.internal.commands.pace import begin_pace
 from jacinthsail.internal.commands.retry_budget import set_budget
 from jacinthsail.internal.commands.store_reading import remove_unconfirmed_targets
 from jacinthsail.internal.commands.target_queue import (
@@ -57,7 +61,7 @@
     target_count,
     targets_on_host,
 )
-from jacinthsail.internal.queries.freshness import knowledge_age_s, new_freshness
+from jacinthsail.internal.queries.freshness import knowledge_age_s, new_freshness, proves_keys
 from jacinthsail.internal.queries.held_memory import (
     CALLERS_SHARE,
     max_caller_connections,
@@ -69,6 +73,7 @@
 from jacinthsail.internal.queries.store_reading import new_read_state
 from jacinthsail.internal.queries.store_sources import new_store_sources
 from jacinthsail.internal.queries.target_queue import new_target_queue
+from jacinthsail.internal.queries.where import NodeView, answer_where
 
 _LOG = logging.getLogger("jacinthsail.node")
 
@@ -139,7 +144,8 @@
             self.freshness,
             Random(f"{incarnation} exchange"),
         )
-        self.target_queue = new_target_queue(INITIAL_SLOTS)
+        self.target_queue = new_target_queue(INITIAL_SLOTS, settings.paces_target)
+        self.paced_incarnation = ""
         self.retry_budget = new_retry_budget()
         self.lineage = LineageState(running={}, next_ticket=1)
         self.local_target = LocalTarget(
@@ -227,6 +233,9 @@
         if target is not None:
             self.was_target_listed = True
             set_slots(self.target_queue, target.slots)
+            if target.incarnation != self.paced_incarnation:
+                self.paced_incarnation = target.incarnation
+                begin_pace(self.target_queue["pace"], target.slots, target.warm_up_s <= 0.0)
         is_draining = is_leaving(target, self.was_target_listed)
         if is_draining != self.target_queue["draining"]:
             _LOG.info("local target %s", "is leaving" if is_draining else "accepts requests again")
@@ -257,6 +266,12 @@
     def _serve_metrics(
         self, request: HttpRequest, respond: ResponseCallback
     ) -> RequestHandle | None:
+        question = where_question(request.url)
+        if question is not None:
+            answer = answer_where(question, self._node_view(), asyncio.get_running_loop().time())
+            body = json.dumps(answer).encode()
+            respond(HttpResponse(200, b"Content-Type: application/json\r\n", body))
+            return None
         content, headers = self.metrics.page(
             self.fleet,
             self.target_queue,
@@ -270,6 +285,22 @@
         respond(HttpResponse(200, lines.encode("ascii"), content))
         return None
 
+    def _node_view(self) -> NodeView:
+        # The answer must not use up random numbers, and be that of the next real request.
+        random = Random()
+        random.setstate(self.router.random.getstate())
+        boot_now = boot_time()
+        return NodeView(
+            fleet=self.fleet,
+            location=self.router.location,
+            queue=self.target_queue,
+            retry_budget=self.retry_budget,
+            cap_home=self.caps.home,
+            knowledge_age_s=knowledge_age_s(self.freshness, boot_now),
+            is_key_proven=proves_keys(self.freshness, boot_now),
+            random=random,
+        )
+
     def _account_figures(self) -> AccountFigures:
         manifest = self.fleet["manifest"]
         accounts = None if manifest is None else manifest.accounts
--- a/src/jacinthsail/internal/adapters/forward_records.py
+++ b/src/jacinthsail/internal/adapters/forward_records.py
@@ -20,8 +20,9 @@
 # this order, then the body.
 _REQUEST = struct.Struct("<QBBIIIIHHIHHI")
 
-# Id, kind of outcome, status, whether it was shed, retry-after in ms, then the load: in flight,
-# queued, limit, then mean duration and queue wait in µs of new requests and of nested calls, then
+# Id, kind of outcome, status, whether it was shed (1) and for lack of room (2), retry-after in ms,
+# then the load: in flight, queued, limit, mean duration and queue wait in µs of new requests and of
+# nested calls, then
 # the length of the header lines in bytes. The header lines and the body follow, or the reason as
 # text.
 _REPLY = struct.Struct("<QBHBIIIIIIIII")
@@ -30,6 +31,9 @@
 _NOT_RUN = 1
 _UNKNOWN = 2
 
+_SHED = 1
+_LACKS_ROOM = 2
+
 # A kind of retry is encoded as its index in this tuple.
 _RETRY_KINDS = tuple(RetryKind)
 _RETRY_KIND_INDEXES = {retry_kind: index for index, retry_kind in enumerate(_RETRY_KINDS)}
@@ -133,13 +137,13 @@
 
 def pack_reply(message: ForwardReplyMessage) -> bytes:
     """Return the encoded record of a reply."""
-    kind, status, is_shed, retry_after_ms, head_lines, rest = _outcome_fields(message.outcome)
+    kind, status, shed, retry_after_ms, head_lines, rest = _outcome_fields(message.outcome)
     load = message.load
     head = _REPLY.pack(
         message.forward_id,
         kind,
         status,
-        is_shed,
+        shed,
         retry_after_ms,
         load.in_flight,
         load.queued,
@@ -159,7 +163,7 @@
         forward_id,
         kind,
         status,
-        is_shed,
+        shed,
         retry_after_ms,
         in_flight,
         queued,
@@ -184,7 +188,9 @@
         return ForwardReplyMessage(forward_id, Unknown(Reason.INCOMPLETE_ANSWER, 0), load)
     if kind == _RESPONSE:
         head_lines = record[_REPLY.size : body_at]
-        response = ForwardedResponse(status, head_lines, record[body_at:], bool(is_shed))
+        response = ForwardedResponse(
+            status, head_lines, record[body_at:], bool(shed & _SHED), bool(shed & _LACKS_ROOM)
+        )
         return ForwardReplyMessage(forward_id, response, load)
     reason = Reason(record[body_at:].decode())
     if kind == _NOT_RUN:
@@ -193,7 +199,7 @@
 
 
 # Kind, status, whether it was shed, retry-after in ms, header lines, and body or reason.
-OutcomeFields = tuple[int, int, bool, int, bytes, bytes]
+OutcomeFields = tuple[int, int, int, int, bytes, bytes]
 
 
 @singledispatch
@@ -203,15 +209,16 @@
 
 @_outcome_fields.register
 def _(outcome: ForwardedResponse) -> OutcomeFields:
-    return _RESPONSE, outcome.status, outcome.is_shed, 0, outcome.head_lines, outcome.body
+    shed = outcome.is_shed * _SHED | outcome.lacks_room * _LACKS_ROOM
+    return _RESPONSE, outcome.status, shed, 0, outcome.head_lines, outcome.body
 
 
 @_outcome_fields.register
 def _(outcome: NotRun) -> OutcomeFields:
     retry_after_ms = milliseconds(outcome.retry_after_s)
-    return _NOT_RUN, 0, False, retry_after_ms, b"", outcome.reason.value.encode()
+    return _NOT_RUN, 0, 0, retry_after_ms, b"", outcome.reason.value.encode()
 
 
 @_outcome_fields.register
 def _(outcome: Unknown) -> OutcomeFields:
-    return _UNKNOWN, 0, False, 0, b"", outcome.reason.value.encode()
+    return _UNKNOWN, 0, 0, 0, b"", outcome.reason.value.encode()
--- a/src/jacinthsail/internal/adapters/local_target.py
+++ b/src/jacinthsail/internal/adapters/local_target.py
@@ -13,7 +13,9 @@
     HttpClientConnection,
     HttpClientResponse,
 )
+from jacinthsail.internal.commands.chain_admission import record_call_result, record_new_request
 from jacinthsail.internal.commands.lineage import add_parent, record_parent_retry, remove_parent
+from jacinthsail.internal.commands.pace import record_paced_failure
 from jacinthsail.internal.commands.retry_budget import record_attempt, record_retry_demand
 from jacinthsail.internal.commands.target_queue import (
     enqueue_request,
@@ -41,6 +43,7 @@
     TargetQueue,
     WaitingRequest,
 )
+from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.lineage import new_parent
 from jacinthsail.internal.queries.retry_budget import is_within_retry_budget
 from jacinthsail.internal.queries.target_queue import (
@@ -182,6 +185,9 @@
         request = LocalRequest(self, forwarded, on_outcome)
         record_retry_demand(self.retry_budget, forwarded.retry_kind, forwarded.rank, now)
         decision = decide_arrival(self.queue, self.retry_budget, forwarded, now)
+        if work_kind(forwarded.rank) is WorkKind.NEW:
+            is_admitted = not isinstance(decision, RejectRequest)
+            record_new_request(self.queue["chain"], forwarded.rank, is_admitted, now)
         if isinstance(decision, RejectRequest):
             self._log("rejected", request, decision.reason, now)
             self._report_outcome(request, NotRun(decision.reason, 0, decision.retry_after_s))
@@ -227,6 +233,11 @@
         request.waiting = None
         return request
 
+    def record_call_result(self, parent: ParentRequest, lacks_room: bool, now: float) -> None:
+        """Record whether a call of the target was refused for lack of room further on."""
+        if work_kind(parent["rank"]) is WorkKind.NEW:
+            record_call_result(self.queue["chain"], parent["admitted_share"], lacks_room, now)
+
     def start_queued(self) -> None:
         """Start queued requests while there are free slots."""
         while True:
@@ -252,13 +263,14 @@
 
     def _start(self, request: LocalRequest, deadline: float) -> None:
         now = self.loop.time()
-        record_request_start(self.queue, request.forwarded)
+        record_request_start(self.queue, request.forwarded, now)
         request.started_at = now
         request.parent = new_parent(
             request.forwarded.request_id,
             self.lineage["next_ticket"],
             request.forwarded.rank,
             request.forwarded.retry_kind in RETRY_EXECUTION_KINDS,
+            self.queue["chain"]["share"],
         )
         add_parent(self.lineage, request.parent)
         request.timer = self.loop.call_at(
@@ -374,12 +386,15 @@
 
     def _on_result(self, request: LocalRequest, result: ExchangeResult) -> None:
         if isinstance(result, BrokenExchange):
+            record_paced_failure(self.queue["pace"], self.queue["slots"], self.loop.time())
             if result.request_sent:
                 self._end(request, Unknown(Reason.INCOMPLETE_ANSWER, 0))
             else:
                 self._end(request, NotRun(Reason.TARGET_UNREACHABLE, 0, RETRY_AFTER_UNREACHABLE_S))
             return
         outcome = self.dialect.decode(result)
+        if isinstance(outcome, NotRun | Unknown):
+            record_paced_failure(self.queue["pace"], self.queue["slots"], self.loop.time())
         if request.connection is not None and may_be_sent_again(outcome):
             request.connection.record_failure(request.forwarded.request_id)
         if isinstance(outcome, NotRun) and self._schedule_retry(request, outcome):
@@ -404,7 +419,7 @@
         if parent is None or not parent["is_shed"]:
             return response
         record_shed(self.queue, request.forwarded, now)
-        return response._replace(is_shed=True)
+        return response._replace(is_shed=True, lacks_room=parent["lacks_room"])
 
     def _schedule_retry(self, request: LocalRequest, outcome: NotRun) -> bool:
         """Schedule a retry of a refused request if time and retry budget remain.
--- a/src/jacinthsail/internal/adapters/request_metrics.py
+++ b/src/jacinthsail/internal/adapters/request_metrics.py
@@ -13,7 +13,8 @@
 from jacinthsail.internal.model.peers import TrafficState
 from jacinthsail.internal.model.store import StoreReadState
 from jacinthsail.internal.model.store_sources import StoreRole, StoreSources
-from jacinthsail.internal.model.target_queue import TargetQueue, WorkKind
+from jacinthsail.internal.model.target_queue import TargetQueue
+from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.fleet_view import manifest_version
 
 # Upper bounds of the latency buckets; they range from a fast lookup to the longest timeout.
--- a/src/jacinthsail/internal/adapters/tool.py
+++ b/src/jacinthsail/internal/adapters/tool.py
@@ -12,8 +12,10 @@
 
 from jacinthsail.errors import ConfigurationError, describe
 from jacinthsail.internal.adapters.files import read_text
+from jacinthsail.internal.adapters.operator_requests import WHERE_PATH
 from jacinthsail.internal.model.document import Section
 from jacinthsail.internal.model.reports import (
+    AskWhere,
     CheckFiles,
     CompareSections,
     ExplainRequest,
@@ -21,6 +23,7 @@
     Report,
     ShowStatus,
 )
+from jacinthsail.internal.model.where import WhereAnswer
 from jacinthsail.internal.queries.checks import (
     EXIT_INVALID,
     check_report,
@@ -31,6 +34,10 @@
 from jacinthsail.internal.queries.documents import parse_section
 from jacinthsail.internal.queries.explain import NodeLog, decisions_about, explain_report
 from jacinthsail.internal.queries.fleet_status import status_report
+from jacinthsail.internal.queries.where import describe_where
+
+# The request would be refused now.
+EXIT_REFUSED = 1
 
 
 @singledispatch
@@ -52,6 +59,34 @@
     return asyncio.run(_fleet_status(request))
 
 
+@build_report.register
+def _(request: AskWhere) -> Report:
+    answer = asyncio.run(_ask_where(request))
+    if answer is None:
+        line = f"{request.node}: no response; check that the node runs and the port is right"
+        return Report((line,), None, EXIT_INVALID)
+    exit_status = 0 if answer["decision"] == "send" else EXIT_REFUSED
+    return Report(describe_where(answer), answer, exit_status)
+
+
+async def _ask_where(request: AskWhere) -> WhereAnswer | None:
+    question = request.question
+    query = {"host": question.host, "path": question.path}
+    if question.account:
+        query["account"] = question.account
+    if question.remaining_time_s is not None:
+        query["remaining_ms"] = str(round(question.remaining_time_s * 1000))
+    timeout = aiohttp.ClientTimeout(total=request.timeout_s)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            url = f"http://{request.node}{WHERE_PATH}"
+            async with session.get(url, params=query) as response:
+                answer: WhereAnswer = json.loads(await response.read())
+                return answer
+    except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+        return None
+
+
 @build_report.register
 def _(request: ExplainRequest) -> Report:
     logs = []
--- a/src/jacinthsail/internal/commands/lineage.py
+++ b/src/jacinthsail/internal/commands/lineage.py
@@ -14,9 +14,10 @@
     parent["calls"] += 1
 
 
-def record_shed_call(parent: ParentRequest) -> None:
-    """Record that a nested call of a request was shed."""
+def record_shed_call(parent: ParentRequest, lacks_room: bool) -> None:
+    """Record that a nested call of a request was shed, and whether for lack of room."""
     parent["is_shed"] = True
+    parent["lacks_room"] = parent["lacks_room"] or lacks_room
 
 
 def record_parent_retry(parent: ParentRequest) -> None:
--- a/src/jacinthsail/internal/commands/target_queue.py
+++ b/src/jacinthsail/internal/commands/target_queue.py
@@ -2,8 +2,10 @@
 
 import heapq
 
+from jacinthsail.internal.commands.pace import record_paced_response, record_sent
 from jacinthsail.internal.model.request_state import ForwardedRequest
-from jacinthsail.internal.model.target_queue import TargetQueue, WaitingRequest, WorkKind, WorkQueue
+from jacinthsail.internal.model.target_queue import TargetQueue, WaitingRequest, WorkQueue
+from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.target_queue import (
     decayed_share,
     has_stale_entry,
@@ -38,8 +40,9 @@
         heapq.heappop(work_queue["waiting"])
 
 
-def record_request_start(queue: TargetQueue, forwarded: ForwardedRequest) -> None:
+def record_request_start(queue: TargetQueue, forwarded: ForwardedRequest, now: float) -> None:
     """Count a request that is sent to the target as in flight."""
+    record_sent(queue["pace"], queue["slots"], queue["in_flight"], now)
     queue["in_flight"] += 1
     queue["work_queues"][work_kind(forwarded.rank)]["in_flight"] += 1
 
@@ -56,6 +59,7 @@
     """Update the mean duration at the target and the limit on new requests."""
     kind = work_kind(forwarded.rank)
     work_queue = queue["work_queues"][kind]
+    record_paced_response(queue["pace"], kind, duration_s, queue["slots"], now)
     work_queue["mean_duration_s"] += MEAN_WEIGHT * (duration_s - work_queue["mean_duration_s"])
     work_queue["response_count"] += 1
     if kind is WorkKind.NESTED:
--- a/src/jacinthsail/internal/model/calls.py
+++ b/src/jacinthsail/internal/model/calls.py
@@ -17,6 +17,7 @@
     BELOW_THRESHOLD = "below-threshold"
     BELOW_EVERY_THRESHOLD = "below-every-threshold"
     QUEUE_FULL = "queue-full"
+    CHAIN_FULL = "chain-full"
     EVICTED = "evicted"
     DEADLINE_EXPIRED = "deadline-expired"
     DEADLINE_TOO_SHORT = "deadline-too-short"
--- a/src/jacinthsail/internal/model/fleet_settings.py
+++ b/src/jacinthsail/internal/model/fleet_settings.py
@@ -38,7 +38,8 @@
     signal and the end of the process, and ``heartbeat_s`` the interval at which targets renew their
     entries in the store. A withdrawn key must be refused at every node after ``revocation_s``; None
     means that nodes refuse it once they know. ``caps`` says by how much caps may be exceeded.
-    ``memory`` takes effect at the start of the process.
+    ``memory`` takes effect at the start of the process. ``paces_target`` says whether a target that
+    has just started or recovered is given requests by how it answers.
     """
 
     location: NodeLocation
@@ -55,3 +56,4 @@
     revocation_s: float | None = None
     caps: CapSettings = CapSettings(5.0, 0.0, 0.0)
     memory: MemoryLimits = MemoryLimits(200 * 1024 * 1024, 3900)
+    paces_target: bool = False
--- a/src/jacinthsail/internal/model/reports.py
+++ b/src/jacinthsail/internal/model/reports.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from jacinthsail.errors import ConfigurationError
+from jacinthsail.internal.model.where import WhereQuestion
 
 
 class CheckFiles(NamedTuple):
@@ -32,7 +33,15 @@
     new_path: str
 
 
-ToolRequest = CheckFiles | ShowStatus | ExplainRequest | CompareSections
+class AskWhere(NamedTuple):
+    """Ask the node with this metrics port where a request would go."""
+
+    node: str
+    question: WhereQuestion
+    timeout_s: float
+
+
+ToolRequest = CheckFiles | ShowStatus | ExplainRequest | CompareSections | AskWhere
 
 
 class FileCheck(NamedTuple):
--- a/src/jacinthsail/internal/model/request_state.py
+++ b/src/jacinthsail/internal/model/request_state.py
@@ -35,13 +35,15 @@
 class ForwardedResponse(NamedTuple):
     """The target's complete response; ``head_lines`` are its header lines without the framing.
 
-    ``is_shed`` is true if the request failed because a nested call was shed.
+    ``is_shed`` is true if the request failed because a nested call was shed, and ``lacks_room`` if
+    fewer requests would have avoided it.
     """
 
     status: int
     head_lines: bytes
     body: bytes
     is_shed: bool = False
+    lacks_room: bool = False
 
 
 ForwardedOutcome = ForwardedResponse | NotRun | Unknown
--- a/src/jacinthsail/internal/model/target_queue.py
+++ b/src/jacinthsail/internal/model/target_queue.py
@@ -1,17 +1,12 @@
 """The queue in front of a node's local target when the target itself serves HTTP requests."""
 
-from enum import StrEnum
 from typing import NamedTuple, TypedDict
 
 from jacinthsail.internal.model.calls import Reason
+from jacinthsail.internal.model.chain_admission import ChainAdmission
+from jacinthsail.internal.model.pace import Pace
 from jacinthsail.internal.model.request_state import ForwardedRequest
-
-
-class WorkKind(StrEnum):
-    """Whether a request starts a chain of calls or is nested in one."""
-
-    NEW = "new"
-    NESTED = "nested"
+from jacinthsail.internal.model.work import WorkKind
 
 
 class WaitingRequest(NamedTuple):
@@ -57,7 +52,9 @@
     ``waiting_by_ticket`` holds the queued ones. ``draining`` is set while the target leaves,
     and ``stopped`` is set once this node stops. ``blocked`` is set while this node cannot route the
     nested calls that the target makes. Requests still in flight at ``cut_at``, a time of the event
-    loop's clock, are cut; it is infinite unless this node is stopping.
+    loop's clock, are cut; it is infinite unless this node is stopping. ``chain`` admits new
+    requests by the room of the services that the target calls, and ``pace`` limits the requests in
+    flight after a start of the target.
     """
 
     slots: int
@@ -69,6 +66,8 @@
     blocked: bool
     stopped: bool
     cut_at: float
+    chain: ChainAdmission
+    pace: Pace
 
 
 class StartRequest(NamedTuple):
--- a/src/jacinthsail/internal/queries/held_memory.py
+++ b/src/jacinthsail/internal/queries/held_memory.py
@@ -14,8 +14,9 @@
 TARGET_SHARE = 0.12
 PEERS_SHARE = 0.12
 
-# Part of the sockets that callers may use; the others are for the target, peers and the store.
-CALLER_SOCKETS_SHARE = 0.75
+# Parts of the sockets that callers and peers may use; the others are for the target and the store.
+CALLER_SOCKETS_SHARE = 0.6
+PEER_SOCKETS_SHARE = 0.3
 
 # Cost of the objects for one header line, apart from its bytes.
 HEADER_OBJECT_BYTES = 160
@@ -93,5 +94,5 @@
 
 
 def max_peer_connections(limits: MemoryLimits) -> int:
-    """Return how many connections from peers may be open; each peer opens at most a few."""
-    return max(1, int(limits.max_sockets * (1.0 - CALLER_SOCKETS_SHARE) / 2))
+    """Return how many connections from peers may be open; each peer opens up to two."""
+    return max(1, int(limits.max_sockets * PEER_SOCKETS_SHARE))
--- a/src/jacinthsail/internal/queries/lineage.py
+++ b/src/jacinthsail/internal/queries/lineage.py
@@ -11,7 +11,9 @@
 RANKS_PER_PRIORITY = 2
 
 
-def new_parent(request_id: str, ticket: int, rank: int, is_retry: bool) -> ParentRequest:
+def new_parent(
+    request_id: str, ticket: int, rank: int, is_retry: bool, admitted_share: float = 1.0
+) -> ParentRequest:
     """Return the entry of a request for which the target has made no nested call yet."""
     return ParentRequest(
         request_id=request_id,
@@ -20,6 +22,8 @@
         is_retry=is_retry,
         calls=0,
         is_shed=False,
+        lacks_room=False,
+        admitted_share=admitted_share,
     )
 
 
--- a/src/jacinthsail/internal/queries/next_steps.py
+++ b/src/jacinthsail/internal/queries/next_steps.py
@@ -42,6 +42,7 @@
 CAPACITY_REASONS = frozenset(
     {
         Reason.QUEUE_FULL,
+        Reason.CHAIN_FULL,
         Reason.DEADLINE_TOO_SHORT,
         Reason.RETRIES_SPENT,
         Reason.TARGET_REFUSED,
@@ -50,6 +51,16 @@
 )
 
 
+# Those of them that fewer requests would avoid. A target that turns requests away at random, and a
+# spent budget for retries, do not depend on how many requests are admitted.
+ROOM_REASONS = frozenset(
+    {Reason.QUEUE_FULL, Reason.CHAIN_FULL, Reason.DEADLINE_TOO_SHORT, Reason.NO_TARGET}
+)
+
+# Refusals that every other target of the service would repeat.
+FINAL_REFUSAL_REASONS = frozenset({Reason.RETRIES_SPENT, Reason.CHAIN_FULL})
+
+
 @singledispatch
 def next_step(
     outcome: object, request_state: RequestState, failure_rate_elsewhere: float, now: float
@@ -87,7 +98,7 @@
             return RetryAttempt(outcome.reason, RetryKind.NOT_EXECUTED)
         return step_after_not_run(outcome.reason, request_state, outcome.retry_after_s)
     is_final = (
-        outcome.reason is Reason.RETRIES_SPENT
+        outcome.reason in FINAL_REFUSAL_REASONS
         or request_state["node_refusals"] >= MAX_NODE_REFUSALS
     )
     if is_final or not has_time_for_retry(request_state, now):
--- a/src/jacinthsail/internal/queries/queue_wait.py
+++ b/src/jacinthsail/internal/queries/queue_wait.py
@@ -1,7 +1,7 @@
 """Computes the queue wait limit of a request."""
 
 from jacinthsail.internal.model.request_state import RequestState
-from jacinthsail.internal.model.target_queue import WorkKind
+from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.next_steps import MAX_NODE_REFUSALS
 from jacinthsail.internal.queries.target_queue import work_kind
 
--- a/src/jacinthsail/internal/queries/target_choice.py
+++ b/src/jacinthsail/internal/queries/target_choice.py
@@ -19,7 +19,7 @@
 )
 from jacinthsail.internal.model.membership import Distance
 from jacinthsail.internal.model.request_state import RequestState
-from jacinthsail.internal.model.target_queue import WorkKind
+from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.fleet_view import failure_rate
 from jacinthsail.internal.queries.target_queue import work_kind
 
--- a/src/jacinthsail/internal/queries/target_queue.py
+++ b/src/jacinthsail/internal/queries/target_queue.py
@@ -14,10 +14,13 @@
     StartRequest,
     TargetQueue,
     WaitingRequest,
-    WorkKind,
     WorkQueue,
 )
+from jacinthsail.internal.model.work import WorkKind
+from jacinthsail.internal.queries import chain_admission
+from jacinthsail.internal.queries.chain_admission import new_chain_admission
 from jacinthsail.internal.queries.lineage import RANKS_PER_PRIORITY
+from jacinthsail.internal.queries.pace import limit_on_slots, new_pace
 from jacinthsail.internal.queries.retry_budget import is_within_retry_budget
 
 # Assumed until the target has returned its first response.
@@ -101,7 +104,7 @@
     )
 
 
-def new_target_queue(slots: int) -> TargetQueue:
+def new_target_queue(slots: int, is_paced: bool = False) -> TargetQueue:
     """Return the empty target queue of a node that has just started."""
     return TargetQueue(
         slots=slots,
@@ -113,6 +116,8 @@
         blocked=False,
         stopped=False,
         cut_at=float("inf"),
+        chain=new_chain_admission(),
+        pace=new_pace(is_paced),
     )
 
 
@@ -130,6 +135,10 @@
         retry_budget, forwarded.retry_kind, forwarded.rank, multiplies, now
     ):
         return RejectRequest(Reason.RETRIES_SPENT, MIN_RETRY_AFTER_S)
+    if work_kind(forwarded.rank) is WorkKind.NEW:
+        chain = queue["chain"]
+        if not chain_admission.admits_chain(chain, forwarded.rank):
+            return RejectRequest(Reason.CHAIN_FULL, chain_admission.retry_after_s(chain))
     return decide_queueing(queue, forwarded, now)
 
 
@@ -177,9 +186,9 @@
 
 def has_free_slot(queue: TargetQueue, work_queue: WorkQueue) -> bool:
     """Return whether the slots and the limit of a work queue allow one more request in flight."""
-    return queue["in_flight"] < queue["slots"] and work_queue["in_flight"] < int(
-        work_queue["limit"]
-    )
+    if queue["in_flight"] >= limit_on_slots(queue["pace"], queue["slots"]):
+        return False
+    return work_queue["in_flight"] < int(work_queue["limit"])
 
 
 def expected_wait_for_rank_s(queue: TargetQueue, rank: int) -> float:
@@ -195,7 +204,8 @@
 def available_slots(queue: TargetQueue, work_queue: WorkQueue) -> float:
     """Return how many requests of a work queue can be in flight beside those of other kinds."""
     others = queue["in_flight"] - work_queue["in_flight"]
-    return max(1.0, min(work_queue["limit"], float(queue["slots"] - others)))
+    slots = limit_on_slots(queue["pace"], queue["slots"])
+    return max(1.0, min(work_queue["limit"], float(slots - others)))
 
 
 def retry_after_s(queue: TargetQueue, work_queue: WorkQueue) -> float:
@@ -317,7 +327,7 @@
     return LoadReport(
         queue["in_flight"],
         len(queue["waiting_by_ticket"]),
-        queue["slots"],
+        limit_on_slots(queue["pace"], queue["slots"]),
         kind_load(queue, WorkKind.NEW),
         kind_load(queue, WorkKind.NESTED),
     )
--- a/src/jacinthsail/platform/settings.py
+++ b/src/jacinthsail/platform/settings.py
@@ -99,6 +99,8 @@
         revocation_s=_revocation_s(bounds),
         caps=_caps(bounds),
         memory=_memory(table.get("limits", {})),
+        # The contract covers targets whose state is not what they say it is.
+        paces_target="health" in table.get("contracts", []),
     )
 
 
--- a/src/jacinthsail/testing/measure_fleet.py
+++ b/src/jacinthsail/testing/measure_fleet.py
@@ -18,14 +18,16 @@
 from jacinthsail.internal.commands.fleet import install_manifest
 from jacinthsail.internal.commands.store_copy import record_copied, record_items
 from jacinthsail.internal.commands.store_reading import apply_changes
+from jacinthsail.internal.model.caps import GrantStatus
 from jacinthsail.internal.model.document import Execution
 from jacinthsail.internal.model.fleet import FleetState, NodeLocation
 from jacinthsail.internal.model.manifest import Branch, ClientLimits, Manifest, RoutePolicy
-from jacinthsail.internal.model.messages import StoreReport
+from jacinthsail.internal.model.messages import FreshnessReply, StoreReport, TokenGrant
 from jacinthsail.internal.model.request_state import RequestInfo, RequestState
 from jacinthsail.internal.model.retry_budget import RetryKind
 from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.model.store import PublishedItem, StoreCopy, StoreDelta, StoreSnapshot
+from jacinthsail.internal.queries.caps import home_of, possible_homes
 from jacinthsail.internal.queries.fleet_view import new_fleet
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_sources import reader_order
@@ -125,6 +127,12 @@
     random = Random(1)
     state = request_state()
 
+    hosts = possible_homes(fleet)
+    probe = FreshnessReply(1, 0, count, 0.5)
+    probe_frame = encode_frame(probe)[LENGTH_PREFIX.size :]
+    grant = TokenGrant("account-1", 1, 0.0, GrantStatus.GRANTED)
+    grant_frame = encode_frame(grant)[LENGTH_PREFIX.size :]
+
     def apply_change() -> None:
         items = items_to_apply(update, copy)
         apply_changes([store.decode(item) for item in items], fleet, 0.0)
@@ -138,6 +146,14 @@
         "choose a target": median_us(
             lambda: choose_target(fleet, LOCATION, state, 0.0, random), CALLS
         ),
+        "list the possible homes of accounts": median_us(lambda: possible_homes(fleet)),
+        "find the home of an account": median_us(lambda: home_of("account-1", hosts)),
+        "encode a proof of freshness": median_us(lambda: encode_frame(probe), CALLS),
+        "decode a proof of freshness": median_us(
+            lambda: decode_payload(probe_frame, "peer"), CALLS
+        ),
+        "encode a grant of tokens": median_us(lambda: encode_frame(grant), CALLS),
+        "decode a grant of tokens": median_us(lambda: decode_payload(grant_frame, "peer"), CALLS),
         "compare failure rates": median_us(
             lambda: failure_rate_elsewhere(fleet, state, 0.0), CALLS
         ),
--- a/tests/fast/test_target_queue.py
+++ b/tests/fast/test_target_queue.py
@@ -21,8 +21,8 @@
     RejectRequest,
     StartRequest,
     WaitingRequest,
-    WorkKind,
 )
+from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.target_queue import (
     MIN_NEW_SHARE,
     decide_queueing,
@@ -50,7 +50,7 @@
 def full_queue(slots=2, mean_duration_s=0.1):
     queue = target_queue(slots, mean_duration_s)
     for _ in range(slots):
-        record_request_start(queue, forwarded(rank=2))
+        record_request_start(queue, forwarded(rank=2), 0.0)
     return queue
 
 
--- a/tests/fast/test_wire.py
+++ b/tests/fast/test_wire.py
@@ -84,6 +84,7 @@
     ),
     ForwardReplyMessage(9, ForwardedResponse(200, b"A: b\r\n", b"body"), LOAD),
     ForwardReplyMessage(10, ForwardedResponse(500, b"", b"", True), LOAD),
+    ForwardReplyMessage(10, ForwardedResponse(500, b"", b"", True, True), LOAD),
     ForwardReplyMessage(9, NotRun(Reason.QUEUE_FULL, 0, 0.5), LOAD),
     ForwardReplyMessage(9, Unknown(Reason.INCOMPLETE_ANSWER, 0), LOAD),
     FreshnessProbe(7),
