Ask for tokens again soon after a refusal, and count less per request

Cause: a node refused an account without asking for as long as callers were told to stay away, up to 5 s, so tokens stayed unused after the demand had fallen. Each request without accounts read the boot clock, and counted its memory four times.

Change: a node asks again after 0.2 s. Keys are checked only where the manifest lists accounts, and a response is counted once.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -99,13 +99,12 @@
         self, request: HttpRequest, request_info: RequestInfo, respond: ResponseCallback, now: float
     ) -> RequestHandle | None:
         parent = find_parent(self.lineage, request_info.parent_id)
-        decision = identify_account(
-            decide_entry(self.fleet, request_info, now),
-            self.fleet["manifest"],
-            request_info,
-            parent is not None,
-            self.check_keys(now),
-        )
+        decision = decide_entry(self.fleet, request_info, now)
+        manifest = self.fleet["manifest"]
+        if manifest is not None and manifest.accounts is not None:
+            check = self.check_keys(now)
+            is_nested = parent is not None
+            decision = identify_account(decision, manifest, request_info, is_nested, check)
         if self.ends_at is not None:
             is_nested = parent is not None
             decision = decide_entry_while_stopping(decision, is_nested, self.ends_at, now)
--- a/src/jacinthsail/internal/adapters/http_server.py
+++ b/src/jacinthsail/internal/adapters/http_server.py
@@ -16,6 +16,7 @@
 
 from jacinthsail.internal.adapters.caller_memory import CallerMemory
 from jacinthsail.internal.adapters.decision_log import log_request
+from jacinthsail.internal.commands.held_memory import hold
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.held_memory import HeldMemory, HolderView
 from jacinthsail.internal.model.statuses import STATUS_NOT_RUN
@@ -125,7 +126,7 @@
             return
         self.response = response
         self.handle = None
-        self.connection.replace_request_by_response(self)
+        self.connection.release_request(self)
         self.connection.flush()
 
 
@@ -274,16 +275,15 @@
 
     def _count(self, difference: int) -> None:
         if difference:
-            self.server.memory.change(difference, asyncio.get_running_loop().time())
+            self.server.memory.change(difference, self.received_at)
 
     def _drop_request(self) -> None:
         """Forget the request that arrives."""
         self.headers = []
         self.head_size = 0
         self.body = bytearray()
-        held = self.incomplete_bytes
+        hold(self.server.memory.memory, -self.incomplete_bytes)
         self.incomplete_bytes = 0
-        self._count(-held)
 
     def holding(self) -> HolderView:
         """Return what the connection holds that may be given up."""
@@ -399,15 +399,11 @@
         log_request("refused", "", Reason.MEMORY_USED_UP, now, status=STATUS_NOT_RUN)
         pending.respond(HttpResponse(STATUS_NOT_RUN, RETRY_LINE, b""))
 
-    def replace_request_by_response(self, pending: PendingResponse) -> None:
-        """Count the response of a request instead of the request."""
-        assert pending.response is not None
-        if self.transport is None:
-            return
-        self.pending_bytes -= pending.request_bytes
-        response_bytes = len(pending.response.body)
-        self.unread_bytes += response_bytes
-        self._count(response_bytes - pending.request_bytes)
+    def release_request(self, pending: PendingResponse) -> None:
+        """Count a request that has its response no longer; ``flush`` counts the response."""
+        if self.transport is not None:
+            self.pending_bytes -= pending.request_bytes
+            hold(self.server.memory.memory, -pending.request_bytes)
 
     def _count_unread(self) -> None:
         """Count the responses that wait for their turn and those that the kernel has not taken."""
@@ -415,9 +411,10 @@
         for pending in self.pending:
             if pending.response is not None:
                 unread += len(pending.response.body)
-        difference = unread - self.unread_bytes
-        self.unread_bytes = unread
-        self._count(difference)
+        if unread != self.unread_bytes:
+            difference = unread - self.unread_bytes
+            self.unread_bytes = unread
+            self._count(difference)
 
     def pause_writing(self) -> None:
         """Read no more requests while the caller does not read the responses."""
--- a/src/jacinthsail/internal/commands/caps.py
+++ b/src/jacinthsail/internal/commands/caps.py
@@ -3,6 +3,7 @@
 from jacinthsail.internal.model.accounts import AccountCap
 from jacinthsail.internal.model.caps import CapHome, FormerMembers, Grant, GrantStatus, TokenStock
 from jacinthsail.internal.queries.caps import (
+    ASK_INTERVAL_S,
     DEMAND_TIME_CONSTANT_S,
     FORMER_MEMBERS_S,
     TOKEN_LIFETIME_S,
@@ -93,7 +94,8 @@
         stock["tokens"] += grant.granted
         stock["expires_at"] = stock["asked_at"] + TOKEN_LIFETIME_S
     if grant.status is GrantStatus.OVER_CAP:
-        stock["refused_until"] = now + grant.retry_after_s
+        stock["refused_until"] = now + min(grant.retry_after_s, ASK_INTERVAL_S)
+        stock["token_expected_at"] = now + grant.retry_after_s
 
 
 def record_no_reply(stock: TokenStock) -> None:
--- a/src/jacinthsail/internal/model/caps.py
+++ b/src/jacinthsail/internal/model/caps.py
@@ -60,10 +60,10 @@
 class TokenStock(TypedDict):
     """The tokens of an account at a node that serves its requests; times are of the boot clock.
 
-    ``asked`` counts the tokens that were asked for without a reply yet. The account is known to be
-    at its cap until ``refused_until``. ``unused`` counts the tokens to give back to the home.
-    ``fallbacks`` are the times at which requests ran without a token, because the home did not
-    respond.
+    ``asked`` counts the tokens that were asked for without a reply yet. The home is not asked again
+    until ``refused_until`` after it has refused, and expects a token at ``token_expected_at``.
+    ``unused`` counts the tokens to give back to the home. ``fallbacks`` are the times at which
+    requests ran without a token, because the home did not respond.
     """
 
     tokens: int
@@ -71,6 +71,7 @@
     asked: int
     asked_at: float
     refused_until: float
+    token_expected_at: float
     unused: int
     demand_per_s: float
     demand_at: float
--- a/src/jacinthsail/internal/queries/caps.py
+++ b/src/jacinthsail/internal/queries/caps.py
@@ -63,6 +63,10 @@
 # Refused tokens are forgotten with this time constant.
 REFUSED_TIME_CONSTANT_S = 1.0
 
+# A node does not ask again for this long after a refusal. The Retry-After time of callers follows
+# the backlog and is longer; tokens would stay unused if no node asked until then.
+ASK_INTERVAL_S = 0.2
+
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 RETRY_AFTER_UNKNOWN_CAP_S = 0.4
@@ -81,6 +85,7 @@
         asked=0,
         asked_at=float("-inf"),
         refused_until=float("-inf"),
+        token_expected_at=float("-inf"),
         unused=0,
         demand_per_s=0.0,
         demand_at=now,
@@ -170,7 +175,7 @@
     if stock["tokens"] > 0 and now < stock["expires_at"]:
         return UseToken()
     if now < stock["refused_until"]:
-        return RefuseOverCap(max(MIN_RETRY_AFTER_S, stock["refused_until"] - now))
+        return RefuseOverCap(max(MIN_RETRY_AFTER_S, stock["token_expected_at"] - now))
     if is_home_silent:
         return decide_fallback(stock, fallback_limit, window_s, now)
     return AskHome()
--- a/tests/fast/test_caps.py
+++ b/tests/fast/test_caps.py
@@ -7,22 +7,30 @@
 
 from jacinthsail.internal.adapters import account_caps
 from jacinthsail.internal.adapters.account_caps import AccountCaps
-from jacinthsail.internal.commands.caps import open_bucket, record_grant, record_returned
+from jacinthsail.internal.commands.caps import (
+    open_bucket,
+    record_ask,
+    record_grant,
+    record_reply,
+    record_returned,
+)
 from jacinthsail.internal.commands.fleet import install_manifest, put_target, remove_target
 from jacinthsail.internal.commands.freshness import record_knowledge
 from jacinthsail.internal.model.accounts import Account, AccountCap, AccountIndex
-from jacinthsail.internal.model.caps import GrantStatus
+from jacinthsail.internal.model.caps import AskHome, Grant, GrantStatus, RefuseOverCap
 from jacinthsail.internal.model.fleet_settings import CapSettings
 from jacinthsail.internal.model.messages import BucketTransfer, TokenGrant, TokenRequest
 from jacinthsail.internal.queries.caps import (
     HANDOVER_S,
     START_HANDOVER_S,
     decide_grant,
+    decide_token,
     effective_cap,
     fallback_limit,
     home_of,
     level_now,
     new_cap_home,
+    new_stock,
 )
 from jacinthsail.internal.queries.fleet_view import new_fleet
 from jacinthsail.internal.queries.freshness import new_freshness
@@ -205,6 +213,16 @@
         self.assertEqual(refusal.status, 429)
         self.assertGreater(refusal.retry_after_s, 0.0)
 
+    def test_node_asks_again_long_before_a_caller_should_come_back(self):
+        """Tokens stayed unused after the demand had fallen, while nodes went on to refuse."""
+        stock = new_stock(100.0)
+        record_ask(stock, 1, 100.0)
+        record_reply(stock, Grant(0, 4.0, GrantStatus.OVER_CAP), 100.0)
+        refused = decide_token(stock, False, 0, 5.0, 100.1)
+        self.assertIsInstance(refused, RefuseOverCap)
+        self.assertAlmostEqual(refused.retry_after_s, 3.9)
+        self.assertIsInstance(decide_token(stock, False, 0, 5.0, 100.3), AskHome)
+
     def test_demand_that_moves_to_another_node_is_served_there(self):
         """Tokens that stay where the demand was would be refused where it is now."""
         net = self.settled_net()
