Part the connections of callers from their server

Change: messages, connection and server have modules of their own; a new request's state is built by one function. No other change.

--- a/src/jacinthsail/internal/adapters/entry.py
+++ b/src/jacinthsail/internal/adapters/entry.py
@@ -8,7 +8,7 @@
 from jacinthsail.internal.adapters.account_caps import AccountCaps
 from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.decision_log import log_request
-from jacinthsail.internal.adapters.http_server import (
+from jacinthsail.internal.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
     RequestHandle,
--- a/src/jacinthsail/internal/adapters/fleet_node.py
+++ b/src/jacinthsail/internal/adapters/fleet_node.py
@@ -16,15 +16,17 @@
 from jacinthsail.internal.adapters.boot_clock import boot_time
 from jacinthsail.internal.adapters.caller_memory import CallerMemory
 from jacinthsail.internal.adapters.entry import RequestRouter
-from jacinthsail.internal.adapters.http_server import (
-    SWEEP_INTERVAL_S,
-    CallerServer,
+from jacinthsail.internal.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
     RequestHandle,
     ResponseCallback,
     ServerLimits,
 )
+from jacinthsail.internal.adapters.http_server import (
+    SWEEP_INTERVAL_S,
+    CallerServer,
+)
 from jacinthsail.internal.adapters.local_target import LocalTarget, TargetDialect
 from jacinthsail.internal.adapters.open_request import CallerDialect
 from jacinthsail.internal.adapters.operator_requests import where_question
--- a/src/jacinthsail/internal/adapters/open_request.py
+++ b/src/jacinthsail/internal/adapters/open_request.py
@@ -12,7 +12,7 @@
 from jacinthsail.errors import MalformedMessage
 from jacinthsail.internal.adapters.account_caps import AccountCaps
 from jacinthsail.internal.adapters.decision_log import log_request
-from jacinthsail.internal.adapters.http_server import (
+from jacinthsail.internal.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
     RequestHandle,
@@ -56,7 +56,6 @@
     ForwardedRequest,
     ForwardedResponse,
     RequestInfo,
-    RequestState,
     RetryAttempt,
     ReturnResponse,
 )
@@ -74,6 +73,7 @@
 from jacinthsail.internal.queries.bulk import is_bulk_request
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.lineage import arrival_rank, find_parent
+from jacinthsail.internal.queries.new_requests import new_request_state
 from jacinthsail.internal.queries.next_steps import (
     CAPACITY_REASONS,
     RETRYABLE_STATUSES,
@@ -181,24 +181,16 @@
         parent = find_parent(entry.lineage, request_info.parent_id)
         if parent is not None:
             record_nested_call(parent)
-        self.request_state = RequestState(
-            request_info=request_info,
-            route=accepted.route,
-            service=accepted.service,
-            arrived_at=now,
-            deadline=accepted.deadline,
-            excluded_targets=set(),
-            rank=arrival_rank(parent, effective_priority(accepted.route, accepted.account)),
+        is_retry = parent is not None and parent["is_retry"]
+        self.request_state = new_request_state(
+            request_info,
+            accepted.route,
+            accepted.service,
+            arrival_rank(parent, effective_priority(accepted.route, accepted.account)),
+            now,
+            accepted.deadline,
             parent_id="" if parent is None else parent["request_id"],
-            attempted_targets=set(),
-            target_refusals=0,
-            node_refusals=0,
-            current_target="",
-            may_have_executed=False,
-            retry_kind=(
-                RetryKind.INHERITED if parent is not None and parent["is_retry"] else RetryKind.NONE
-            ),
-            failed_response=None,
+            retry_kind=RetryKind.INHERITED if is_retry else RetryKind.NONE,
         )
         self.timer = entry.loop.call_at(accepted.deadline + RESPONSE_GRACE_S, self.on_deadline)
 
--- a/src/jacinthsail/internal/queries/where.py
+++ b/src/jacinthsail/internal/queries/where.py
@@ -34,6 +34,7 @@
 from jacinthsail.internal.queries.fleet_view import manifest_version
 from jacinthsail.internal.queries.lineage import new_request_rank
 from jacinthsail.internal.queries.manifest_routes import decide_entry
+from jacinthsail.internal.queries.new_requests import new_request_state
 from jacinthsail.internal.queries.next_steps import is_repeatable
 from jacinthsail.internal.queries.queue_wait import latency_goal_s, max_queue_wait_s
 from jacinthsail.internal.queries.target_choice import (
@@ -154,22 +155,13 @@
 
 
 def _request_state(accepted: AcceptRequest, info: RequestInfo, now: float) -> RequestState:
-    return RequestState(
-        request_info=info,
-        route=accepted.route,
-        service=accepted.service,
-        arrived_at=now,
-        deadline=accepted.deadline,
-        excluded_targets=set(),
-        rank=new_request_rank(effective_priority(accepted.route, accepted.account)),
-        parent_id="",
-        attempted_targets=set(),
-        target_refusals=0,
-        node_refusals=0,
-        current_target="",
-        may_have_executed=False,
-        retry_kind=RetryKind.NONE,
-        failed_response=None,
+    return new_request_state(
+        info,
+        accepted.route,
+        accepted.service,
+        new_request_rank(effective_priority(accepted.route, accepted.account)),
+        now,
+        accepted.deadline,
     )
 
 
--- a/src/jacinthsail/platform/http.py
+++ b/src/jacinthsail/platform/http.py
@@ -6,7 +6,9 @@
 
 from jacinthsail.errors import MalformedMessage
 from jacinthsail.internal.adapters.http_client import HttpClientResponse
-from jacinthsail.internal.adapters.http_server import HttpRequest
+from jacinthsail.internal.adapters.http_messages import (
+    HttpRequest,
+)
 from jacinthsail.internal.model.calls import NotRun, Reason, Unknown
 from jacinthsail.internal.model.request_state import (
     ForwardedOutcome,
--- a/src/jacinthsail/testing/fuzz.py
+++ b/src/jacinthsail/testing/fuzz.py
@@ -14,6 +14,9 @@
 
 from absl import app, flags
 
+from jacinthsail.internal.adapters.caller_connection import (
+    CallerConnection,
+)
 from jacinthsail.internal.adapters.caller_memory import CallerMemory
 from jacinthsail.internal.adapters.connection import PeerConnection
 from jacinthsail.internal.adapters.http_client import (
@@ -21,14 +24,15 @@
     HttpClientConnection,
     HttpClientResponse,
 )
-from jacinthsail.internal.adapters.http_server import (
-    CallerConnection,
-    CallerServer,
+from jacinthsail.internal.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
     ResponseCallback,
     ServerLimits,
 )
+from jacinthsail.internal.adapters.http_server import (
+    CallerServer,
+)
 from jacinthsail.internal.adapters.wire import LENGTH_PREFIX, decode_payload, encode_frame
 from jacinthsail.internal.model.caps import GrantStatus
 from jacinthsail.internal.model.fleet import KindLoad, LoadReport
--- a/src/jacinthsail/testing/measure_fleet.py
+++ b/src/jacinthsail/testing/measure_fleet.py
@@ -24,11 +24,11 @@
 from jacinthsail.internal.model.manifest import Branch, ClientLimits, Manifest, RoutePolicy
 from jacinthsail.internal.model.messages import FreshnessReply, StoreReport, TokenGrant
 from jacinthsail.internal.model.request_state import RequestInfo, RequestState
-from jacinthsail.internal.model.retry_budget import RetryKind
 from jacinthsail.internal.model.settings import Endpoint
 from jacinthsail.internal.model.store import PublishedItem, StoreCopy, StoreDelta, StoreSnapshot
 from jacinthsail.internal.queries.caps import home_of, possible_homes
 from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.new_requests import new_request_state
 from jacinthsail.internal.queries.store_copy import items_to_apply, new_store_copy
 from jacinthsail.internal.queries.store_sources import reader_order
 from jacinthsail.internal.queries.target_choice import choose_target, failure_rate_elsewhere
@@ -85,23 +85,8 @@
 
 def request_state() -> RequestState:
     """Return the state of a request that has just arrived."""
-    return RequestState(
-        request_info=RequestInfo("r-1", "", "GET", b"/a/x", "h.example", "/a/x", None),
-        route=ROUTE,
-        service="service-1",
-        arrived_at=0.0,
-        deadline=2.0,
-        excluded_targets=set(),
-        rank=3,
-        parent_id="",
-        attempted_targets=set(),
-        target_refusals=0,
-        node_refusals=0,
-        current_target="",
-        may_have_executed=False,
-        retry_kind=RetryKind.NONE,
-        failed_response=None,
-    )
+    info = RequestInfo("r-1", "", "GET", b"/a/x", "h.example", "/a/x", None)
+    return new_request_state(info, ROUTE, "service-1", 3, 0.0, 2.0)
 
 
 def median_us(run: Callable[[], object], calls: int = 1) -> float:
--- a/src/jacinthsail/testing/platform_stand_ins.py
+++ b/src/jacinthsail/testing/platform_stand_ins.py
@@ -15,14 +15,16 @@
     ExchangeResult,
     HttpClientConnection,
 )
-from jacinthsail.internal.adapters.http_server import (
-    CallerServer,
+from jacinthsail.internal.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
     RequestHandle,
     ResponseCallback,
     ServerLimits,
 )
+from jacinthsail.internal.adapters.http_server import (
+    CallerServer,
+)
 
 LIMITS = ServerLimits(16384, 1 << 20, 5.0, 60.0)
 
--- a/src/jacinthsail/testing/soak_target.py
+++ b/src/jacinthsail/testing/soak_target.py
@@ -6,14 +6,18 @@
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
+from jacinthsail.internal.adapters.caller_connection import (
+    encode_response,
+)
 from jacinthsail.internal.adapters.http_client import BrokenExchange
-from jacinthsail.internal.adapters.http_server import (
-    CallerServer,
+from jacinthsail.internal.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
     RequestHandle,
     ResponseCallback,
-    encode_response,
+)
+from jacinthsail.internal.adapters.http_server import (
+    CallerServer,
 )
 from jacinthsail.testing.platform_stand_ins import (
     LIMITS,
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -11,9 +11,10 @@
     RoutePolicy,
     ServiceSettings,
 )
-from jacinthsail.internal.model.request_state import ForwardedRequest, RequestInfo, RequestState
+from jacinthsail.internal.model.request_state import ForwardedRequest, RequestInfo
 from jacinthsail.internal.model.retry_budget import RetryKind
 from jacinthsail.internal.queries.fleet_view import new_fleet
+from jacinthsail.internal.queries.new_requests import new_request_state
 from jacinthsail.internal.queries.retry_budget import new_retry_budget
 from jacinthsail.internal.queries.target_queue import new_target_queue
 
@@ -81,23 +82,7 @@
 
 def request_state(policy=None, now=0.0, service="seals"):
     policy = policy or route()
-    return RequestState(
-        request_info=request_info(),
-        route=policy,
-        service=service,
-        arrived_at=now,
-        deadline=now + policy.timeout_s,
-        excluded_targets=set(),
-        rank=1,
-        parent_id="",
-        attempted_targets=set(),
-        target_refusals=0,
-        node_refusals=0,
-        current_target="",
-        may_have_executed=False,
-        retry_kind=RetryKind.NONE,
-        failed_response=None,
-    )
+    return new_request_state(request_info(), policy, service, 1, now, now + policy.timeout_s)
 
 
 def forwarded(
--- a/tests/fast/test_held_memory.py
+++ b/tests/fast/test_held_memory.py
@@ -2,14 +2,18 @@
 import unittest
 from unittest import mock
 
-from jacinthsail.internal.adapters import http_server
-from jacinthsail.internal.adapters.caller_memory import CallerMemory
-from jacinthsail.internal.adapters.http_server import (
+from jacinthsail.internal.adapters import caller_connection
+from jacinthsail.internal.adapters.caller_connection import (
     CallerConnection,
-    CallerServer,
+)
+from jacinthsail.internal.adapters.caller_memory import CallerMemory
+from jacinthsail.internal.adapters.http_messages import (
     HttpResponse,
     ServerLimits,
 )
+from jacinthsail.internal.adapters.http_server import (
+    CallerServer,
+)
 from jacinthsail.internal.model.held_memory import HeldMemory, HolderView, MemoryLimits
 from jacinthsail.internal.queries.held_memory import (
     SMALL_REQUEST_BYTES,
@@ -186,4 +190,4 @@
 
     async def test_refusal_says_when_to_come_back(self):
         """Without Retry-After, refused callers come back at once."""
-        self.assertIn(b"Retry-After: ", http_server.RETRY_LINE)
+        self.assertIn(b"Retry-After: ", caller_connection.RETRY_LINE)
--- a/tests/fast/test_platform_path.py
+++ b/tests/fast/test_platform_path.py
@@ -4,8 +4,13 @@
 import itertools
 import unittest
 
+from jacinthsail.internal.adapters.caller_connection import (
+    encode_response,
+)
 from jacinthsail.internal.adapters.http_client import BrokenExchange
-from jacinthsail.internal.adapters.http_server import HttpResponse, encode_response
+from jacinthsail.internal.adapters.http_messages import (
+    HttpResponse,
+)
 from jacinthsail.internal.queries.target_queue import MIN_RESPONSES
 from jacinthsail.testing.platform_stand_ins import (
     CallerStandIn,
