Keep clients with very small chunks from occupying a node

Change: callers share a budget of 100,000 chunks a second; a connection beyond it waits up to 2 s before its next read. Connections read 64 KiB at a time into one buffer.

--- a/src/jacinthsail/internal/adapters/caller_connection.py
+++ b/src/jacinthsail/internal/adapters/caller_connection.py
@@ -21,7 +21,7 @@
     ServeCallback,
     ServerLimits,
 )
-from jacinthsail.internal.commands.held_memory import hold
+from jacinthsail.internal.commands.held_memory import hold, spend_pieces
 from jacinthsail.internal.model.calls import Reason
 from jacinthsail.internal.model.held_memory import HolderView
 from jacinthsail.internal.model.statuses import STATUS_NOT_RUN
@@ -31,6 +31,7 @@
     Holding,
     may_send_framing,
     may_take_request,
+    parsing_pause_s,
 )
 
 _LOG = logging.getLogger("jacinthsail.callers")
@@ -51,6 +52,13 @@
 # the exception.
 STATUS_SERVE_FAILED = 502
 
+# All connections are read into one buffer. A larger one would let a single connection with very
+# small chunks occupy the process for longer.
+_READ_BUFFER = memoryview(bytearray(64 * 1024))
+
+# Fewer pieces of bodies in one read are not worth counting.
+PIECES_WITHOUT_COUNT = 500
+
 RETRY_LINE = b"Retry-After: %.3f\r\n" % RETRY_AFTER_EVICTION_S
 
 _REJECTIONS = {
@@ -105,7 +113,7 @@
         self.connection.flush()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller, with the requests that are in progress on it."""
 
     def __init__(self, server: ConnectionOwner) -> None:
@@ -132,6 +140,8 @@
         self.ignores_input = False
         self.is_paused = False
         self.is_caller_slow = False
+        self.is_waiting = False
+        self.pieces = 0
         self.expects_continue = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -165,6 +175,14 @@
             if handle is not None:
                 handle.cancel()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which all connections are read, one after the other."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes in the buffer."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if self.ignores_input:
@@ -184,6 +202,8 @@
         if self.in_head and self.header_bytes > self.server.limits.max_header_bytes:
             self._reject(STATUS_HEADERS_TOO_LARGE)
             return
+        if self.pieces > PIECES_WITHOUT_COUNT:
+            self._spend_pieces()
         if not self.in_message:
             return
         max_header_bytes = self.server.limits.max_header_bytes
@@ -192,6 +212,21 @@
             return
         self._count_incomplete()
 
+    def _spend_pieces(self) -> None:
+        """Wait before the next read if callers send more small pieces than a node can spare."""
+        budget = self.server.memory.parsing
+        spend_pieces(budget, self.pieces, self.received_at)
+        self.pieces = 0
+        pause_s = parsing_pause_s(budget, self.received_at)
+        if pause_s > 0.0:
+            self.is_waiting = True
+            self._pause_or_resume_reading()
+            asyncio.get_running_loop().call_later(pause_s, self._end_wait)
+
+    def _end_wait(self) -> None:
+        self.is_waiting = False
+        self._pause_or_resume_reading()
+
     def _count_incomplete(self) -> None:
         """Count what is held for the request that arrives; this may end the request."""
         held = len(self.body) + self._head_cost()
@@ -286,6 +321,7 @@
             self._reject(STATUS_BODY_TOO_LARGE)
             return
         self.body += data
+        self.pieces += 1
 
     def on_message_complete(self) -> None:
         """Serve a complete request."""
@@ -360,7 +396,7 @@
     def _pause_or_resume_reading(self) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        if self.is_paused or self.is_caller_slow:
+        if self.is_paused or self.is_caller_slow or self.is_waiting:
             self.transport.pause_reading()
             return
         self.transport.resume_reading()
--- a/src/jacinthsail/internal/adapters/caller_memory.py
+++ b/src/jacinthsail/internal/adapters/caller_memory.py
@@ -5,7 +5,12 @@
 
 from jacinthsail.internal.commands.held_memory import hold, record_eviction
 from jacinthsail.internal.model.held_memory import HeldMemory, HolderView
-from jacinthsail.internal.queries.held_memory import Holding, choose_eviction, is_exceeded
+from jacinthsail.internal.queries.held_memory import (
+    Holding,
+    choose_eviction,
+    is_exceeded,
+    new_parsing_budget,
+)
 
 _LOG = logging.getLogger("jacinthsail.callers")
 
@@ -38,6 +43,7 @@
         self.memory = memory
         self.max_connections = max_connections
         self.holders: set[CallerHolder] = set()
+        self.parsing = new_parsing_budget(0.0)
         self.logged_at = float("-inf")
         self.evicted_since_log = 0
 
--- a/src/jacinthsail/internal/model/held_memory.py
+++ b/src/jacinthsail/internal/model/held_memory.py
@@ -21,6 +21,13 @@
     evicted: int
 
 
+class ParsingBudget(TypedDict):
+    """Pieces of bodies that may be parsed before connections wait; negative if overdrawn."""
+
+    pieces: float
+    filled_at: float
+
+
 class HolderView(NamedTuple):
     """What one connection holds: the part of a request that it has sent, and unread responses."""
 
--- a/src/jacinthsail/internal/queries/held_memory.py
+++ b/src/jacinthsail/internal/queries/held_memory.py
@@ -7,7 +7,12 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-from jacinthsail.internal.model.held_memory import HeldMemory, HolderView, MemoryLimits
+from jacinthsail.internal.model.held_memory import (
+    HeldMemory,
+    HolderView,
+    MemoryLimits,
+    ParsingBudget,
+)
 
 # Parts of the memory of a VM. What is held for a request is copied up to twice on its way.
 CALLERS_SHARE = 0.20
@@ -31,6 +36,13 @@
 
 RETRY_AFTER_EVICTION_S = 1.0
 
+# Each chunk of a body costs about 1 us, whatever its size. All callers together may send this many
+# in a second, about a tenth of a core, and as many at once.
+PIECES_PER_S = 100_000.0
+
+# A connection whose pieces exceed the budget waits for its turn, but not longer than this.
+MAX_PARSING_PAUSE_S = 2.0
+
 
 class Holding(StrEnum):
     """What a connection is closed for."""
@@ -88,6 +100,22 @@
     return None
 
 
+def new_parsing_budget(now: float) -> ParsingBudget:
+    """Return a full budget."""
+    return ParsingBudget(pieces=PIECES_PER_S, filled_at=now)
+
+
+def pieces_left(budget: ParsingBudget, now: float) -> float:
+    """Return how many more pieces may be parsed now."""
+    filled = budget["pieces"] + PIECES_PER_S * max(0.0, now - budget["filled_at"])
+    return min(PIECES_PER_S, filled)
+
+
+def parsing_pause_s(budget: ParsingBudget, now: float) -> float:
+    """Return how long a connection that has sent many pieces must wait before it is read again."""
+    return min(MAX_PARSING_PAUSE_S, max(0.0, -pieces_left(budget, now) / PIECES_PER_S))
+
+
 def max_caller_connections(limits: MemoryLimits) -> int:
     """Return how many connections callers may have open."""
     return max(1, int(limits.max_sockets * CALLER_SOCKETS_SHARE))
--- a/tests/fast/test_held_memory.py
+++ b/tests/fast/test_held_memory.py
@@ -14,8 +14,11 @@
 from jacinthsail.internal.adapters.http_server import (
     CallerServer,
 )
+from jacinthsail.internal.commands.held_memory import spend_pieces
 from jacinthsail.internal.model.held_memory import HeldMemory, HolderView, MemoryLimits
 from jacinthsail.internal.queries.held_memory import (
+    MAX_PARSING_PAUSE_S,
+    PIECES_PER_S,
     SMALL_REQUEST_BYTES,
     Holding,
     choose_eviction,
@@ -23,6 +26,8 @@
     max_peer_connections,
     may_send_framing,
     may_take_request,
+    new_parsing_budget,
+    parsing_pause_s,
 )
 
 LIMITS = ServerLimits(16 * 1024, 1 << 20, 3.0, 15.0)
@@ -176,6 +181,32 @@
         connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         self.assertIn(b"200 OK", self.written(transport))
 
+    async def test_connection_with_very_many_pieces_waits_for_its_turn(self):
+        """300 clients with chunks of two bytes kept a node from all other work for minutes."""
+        memory = CallerMemory(HeldMemory(limit=10**9, held=0, evicted=0), 100)
+        connection, transport = self.connect(memory)
+        connection.data_received(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        connection.data_received(b"1\r\nx\r\n" * 10_000)
+        transport.pause_reading.assert_not_called()
+        for _ in range(12):
+            connection.data_received(b"1\r\nx\r\n" * 10_000)
+        transport.pause_reading.assert_called()
+        other, other_transport = self.connect(memory)
+        other.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertIn(b"200 OK", self.written(other_transport))
+        other_transport.pause_reading.assert_not_called()
+
+    def test_budget_of_pieces_fills_again(self):
+        """A caller that waits would never be read again, or never have to wait."""
+        budget = new_parsing_budget(100.0)
+        spend_pieces(budget, int(1.5 * PIECES_PER_S), 100.0)
+        self.assertAlmostEqual(parsing_pause_s(budget, 100.0), 0.5)
+        self.assertEqual(parsing_pause_s(budget, 100.6), 0.0)
+        spend_pieces(budget, 10**9, 101.0)
+        self.assertEqual(parsing_pause_s(budget, 101.0), MAX_PARSING_PAUSE_S)
+
     async def test_idle_connection_makes_room_for_a_new_one(self):
         """Callers that connect and send nothing would keep all others out."""
         memory = CallerMemory(HeldMemory(limit=10**6, held=0, evicted=0), 2)
