--- a/src/jacinthsail/platform/settings.py
+++ b/src/jacinthsail/platform/settings.py
@@ -99,8 +99,9 @@
         revocation_s=_revocation_s(bounds),
         caps=_caps(bounds),
         memory=_memory(table.get("limits", {})),
-        # The contract covers targets whose state is not what they say it is.
-        paces_target="health" in table.get("contracts", []),
+        # Not a field of the platform: a template of the settings file may add it. Off by default,
+        # since a whole service that starts at once under overload was served worse with it.
+        paces_target=table.get("pacesTarget") is True,
     )
 
 
--- a/src/jacinthsail/testing/fuzz.py
+++ b/src/jacinthsail/testing/fuzz.py
@@ -108,7 +108,7 @@
     "sequence": 1,
     "born": 17,
 }
-_SETTINGS = b"""nodeName = "n"
+SAMPLE_SETTINGS = b"""nodeName = "n"
 ip = "10.0.0.1"
 zone = "z"
 region = "r"
@@ -309,7 +309,7 @@
     (fuzz_frame, _FRAMES),
     (fuzz_manifest, (json.dumps(_MANIFEST).encode(),)),
     (fuzz_entry, (json.dumps(_ENTRY).encode(),)),
-    (fuzz_settings, (_SETTINGS,)),
+    (fuzz_settings, (SAMPLE_SETTINGS,)),
 )
 
 
--- a/tests/fast/test_pace.py
+++ b/tests/fast/test_pace.py
@@ -11,6 +11,8 @@
 from jacinthsail.internal.model.work import WorkKind
 from jacinthsail.internal.queries.pace import IDLE_S, limit_on_slots, new_pace
 from jacinthsail.internal.queries.target_queue import decide_queueing, load_report, new_target_queue
+from jacinthsail.platform.settings import decode_settings
+from jacinthsail.testing.fuzz import SAMPLE_SETTINGS
 from tests.common.fleets import forwarded
 
 SLOTS = 32
@@ -135,3 +137,11 @@
         for _ in range(3):
             record_duration(queue, forwarded(), USUAL_S, 0.0)
         self.assertEqual(load_report(queue).limit, 6)
+
+    def test_settings_switch_the_pace(self):
+        """A deployment that asks for nothing new must be served as before."""
+        text = SAMPLE_SETTINGS.decode()
+        for line, expected in (("", False), ("pacesTarget = true\n", True)):
+            with self.subTest(line=line):
+                settings = decode_settings(line + text, "settings").unwrap()
+                self.assertIs(settings.node.paces_target, expected)
