Restore two checks on caps, and play out a former home that learns nothing

Cause: when buckets began to grant the overage, two committed checks of the caps were loosened without a reason: the exact bound of a saturated account became the bound of the rule, and the check that a fallback serves anybody was dropped. The random property test passes with a handover of 0 s, so it did not guard it. The hostile tests named a reserve of descriptors and did not use it.

Change: both checks are back, against the cap that homes grant, and the reserve is checked. A test lets a former home and a lagging node miss a change while both homes are saturated.

--- a/src/jacinthsail/internal/queries/caps.py
+++ b/src/jacinthsail/internal/queries/caps.py
@@ -218,8 +218,3 @@
 def spare_tokens(stock: TokenStock, now: float) -> int:
     """Return how many tokens to ask for ahead of the requests that need them."""
     return int(demand_now(stock, now) * SPARE_HORIZON_S)
-
-
-def reply_lifetime_left(stock: TokenStock, now: float) -> float:
-    """Return how long the tokens of a reply that arrives now may be used."""
-    return stock["asked_at"] + TOKEN_LIFETIME_S - now
--- a/src/jacinthsail/internal/queries/held_memory.py
+++ b/src/jacinthsail/internal/queries/held_memory.py
@@ -16,7 +16,6 @@
 
 # Parts of the memory of a VM. What is held for a request is copied up to twice on its way.
 CALLERS_SHARE = 0.20
-TARGET_SHARE = 0.12
 PEERS_SHARE = 0.12
 
 # Parts of the sockets that callers and peers may use; the others are for the target and the store.
--- a/tests/fast/test_caps.py
+++ b/tests/fast/test_caps.py
@@ -206,8 +206,10 @@
         """The room of all other accounts would go to the one that sends most."""
         net = self.settled_net()
         self.play(net, 20.0, 7)
-        self.assertLessEqual(net.most_in_a_window(), allowed_in_window())
         granted = effective_cap(CAP, SETTINGS)
+        most = granted.rate_per_s * SETTINGS.window_s + granted.burst + 1
+        self.assertLessEqual(net.most_in_a_window(), most)
+        self.assertLessEqual(most, allowed_in_window())
         self.assertGreaterEqual(len(net.runs), 0.95 * granted.rate_per_s * 20)
         refusal = net.refusals[-1]
         self.assertEqual(refusal.status, 429)
@@ -298,6 +300,27 @@
         net.learn(heir)
         self.assertIs(net.nodes[heir].grant("opera", 1, 0, 0).status, GrantStatus.GRANTED)
 
+    def test_former_home_that_learns_nothing_does_not_double_the_cap(self):
+        """Random orders of events rarely saturate two homes at once, so this one is played out.
+
+        The former home and one node do not learn of the change; the others ask the new home.
+        """
+        net = self.settled_net()
+        home = home_of("opera", HOSTS)
+        net.hosts.discard(home)
+        heir = home_of("opera", tuple(sorted(net.hosts)))
+        lagging = next(host for host in HOSTS if host not in (home, heir))
+        for _ in range(100):
+            self.clock.advance(0.1)
+            for host in HOSTS:
+                if host not in (home, lagging):
+                    net.learn(host)
+            net.request(lagging, 10)
+            net.request(heir, 10)
+            net.deliver_all()
+        self.assertLessEqual(net.most_in_a_window(), allowed_in_window())
+        self.assertGreater(len(net.runs), allowed_in_window())
+
     def test_transfer_lets_the_new_home_start_at_once(self):
         """Each replaced VM would cost its accounts some seconds of service."""
         net = self.settled_net()
@@ -329,6 +352,7 @@
         self.clock.advance(0.3)
         limit = fallback_limit("opera", CAP, SETTINGS, net.nodes[other].home, self.clock.now)
         self.assertEqual(len(net.runs), limit)
+        self.assertGreater(limit, 0)
         self.assertTrue(all(refusal.status == 503 for refusal in net.refusals))
         self.assertEqual(len(net.refusals), 50 - limit)
 
@@ -362,7 +386,8 @@
                     ["request"] * 6
                     + ["deliver"] * 6
                     + ["learn"] * 4
-                    + ["drop", "restart", "leave", "join", "freeze"]
+                    + ["drop", "restart", "freeze"]
+                    + ["leave", "join"] * 3
                 ),
                 st.integers(0, 3),
                 st.floats(0.0, 0.4),
@@ -386,10 +411,11 @@
                 continue
             if action == "request":
                 net.request(host, 30)
-            elif action == "deliver" and net.messages:
-                index = (number * 7) % len(net.messages)
-                if frozen_until[net.messages[index][1]] <= self.clock.now:
-                    net.deliver(index)
+            elif action == "deliver":
+                for _ in range(min(8, len(net.messages))):
+                    index = (number * 7) % len(net.messages)
+                    if frozen_until[net.messages[index][1]] <= self.clock.now:
+                        net.deliver(index)
             elif action == "drop" and net.messages:
                 net.messages.pop(0)
             elif action == "learn":
--- a/tests/slow/test_hostile_callers.py
+++ b/tests/slow/test_hostile_callers.py
@@ -108,7 +108,7 @@
                 log = (Path(folder) / "node.log").read_text(encoding="utf-8")
                 self.assertTrue(deployment.is_alive(), log[-2000:])
                 self.assertLess(deployment.peak_memory_mb(), MEMORY_MB)
-                self.assertLess(deployment.descriptors(), MAX_DESCRIPTORS)
+                self.assertLess(deployment.descriptors(), MAX_DESCRIPTORS - RESERVED_DESCRIPTORS)
                 self.assertEqual(status, 200)
                 self.assertNotIn("Traceback", log)
 
