Review case 7: an answer without an end, in small chunks, ends its node

Cause: each chunk of a body is kept as an object of its own, and the limits on held answers count the bytes of the body only.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 leaves the
+# disruption out.
+PYTHONDONTWRITEBYTECODE=1 exec python3 "$(dirname "$0")/case.py"
