--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -264,6 +264,7 @@
         self.runs = []
         self.running = 0
         self.writers = set()
+        self.readers = {}
         self.server = None
         self.behave = None
         self.is_ended = False
@@ -297,6 +298,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def is_left(self, writer):
+        """Return whether the other side has closed a connection on which a request runs."""
+        return writer.transport.is_closing() or self.readers[writer].at_eof()
+
     def answer(self, request_id, status=200, body=None):
         """Return the bytes of a sealed answer."""
         content = body if body is not None else f"{self.name} ran {request_id}".encode()
@@ -308,6 +313,7 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
+        self.readers[writer] = reader
         try:
             while True:
                 line, headers, body = await read_message(reader)
@@ -332,6 +338,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            del self.readers[writer]
             writer.close()
 
     async def _run(self, request_id, headers, writer):
