--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -548,6 +548,8 @@
     """Run a case: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
 
     async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         world = World(folder)
         trouble = os.environ.get("TROUBLE", "1") != "0"
         world.record.add(f"disruption {'on' if trouble else 'off'}")
@@ -559,7 +561,7 @@
 
     try:
         broken, summary = asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {type(error).__name__}: {error}")
         return 2
     print(summary)
