Keep the body of a response in one buffer

Callers saw: requests in flight at a node got no answer, and connections to it were refused, while a target sent a chunked response without an end.

Cause: HttpClientConnection kept an object for each chunk and counted the bytes of the chunks alone. Chunks of two bytes cost 22 times what was counted, so the 24 MiB for all responses of the target allowed 700 MB.

Change: the body is one buffer, so that what is counted is what it costs.

--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -89,8 +89,8 @@
         self.matches: ResponsePredicate | None = None
         self.is_head = False
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        # One buffer, because an object for each chunk would cost many times the bytes of the chunk.
+        self.body = bytearray()
         self.held = HeldBytes(total=0) if held is None else held
         self.bytes_without_body = 0
         self.skipped = 0
@@ -219,17 +219,14 @@
             # The exchange has failed in an earlier callback for the same received bytes.
             return
         self.bytes_without_body = 0
-        self.body_bytes += len(data)
+        self.body += data
         self.held["total"] += len(data)
-        if self.body_bytes > MAX_RESPONSE_BYTES or self.held["total"] > MAX_HELD_BYTES:
+        if len(self.body) > MAX_RESPONSE_BYTES or self.held["total"] > MAX_HELD_BYTES:
             self._fail("response body exceeds the maximum size", is_too_large=True)
-            return
-        self.body.append(data)
 
     def _release_body(self) -> None:
-        self.held["total"] -= self.body_bytes
-        self.body = []
-        self.body_bytes = 0
+        self.held["total"] -= len(self.body)
+        self.body = bytearray()
 
     def on_message_complete(self) -> None:
         """Report a complete response, unless it belongs to another request."""
@@ -249,9 +246,7 @@
 
     def _complete(self) -> None:
         self.in_message = False
-        response = HttpClientResponse(
-            self.parser.get_status_code(), self.headers, b"".join(self.body)
-        )
+        response = HttpClientResponse(self.parser.get_status_code(), self.headers, bytes(self.body))
         self._release_body()
         if self.on_result is None:
             # After a second response to one request, nothing on this connection can be trusted.
--- a/tests/fast/test_endless_responses.py
+++ b/tests/fast/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Tests that bytes without an end from a target are neither held nor waited for."""
 
 import asyncio
+import tracemalloc
 import unittest
 from functools import partial
 
@@ -25,6 +26,9 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
+# What a connection holds beside the body that it counts: a head, the parser and the last block.
+FIXED_COST_BYTES = 512 * 1024
+
 # Several times the largest number of bytes that may be received before the exchange fails.
 TOO_MANY_BLOCKS = 4 * MAX_RESPONSE_BYTES // BLOCK
 
@@ -127,6 +131,23 @@
             connection.abort()
         self.assertEqual(held["total"], 0)
 
+    async def test_body_costs_the_memory_that_is_counted(self):
+        """An object for each chunk cost 20 times the bytes that were counted, and ended nodes."""
+        for size in (1, 2, 16, 1024):
+            with self.subTest(chunk_bytes=size):
+                connection, _ = connect()
+                chunk = b"%x\r\n" % size + b"a" * size + b"\r\n"
+                block = chunk * (BLOCK // len(chunk))
+                tracemalloc.start()
+                self.addCleanup(tracemalloc.stop)
+                connection.data_received(CHUNKED)
+                for _ in range(32):
+                    connection.data_received(block)
+                held, _ = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertGreater(connection.held["total"], 0)
+                self.assertLess(held, 2 * connection.held["total"] + FIXED_COST_BYTES)
+
     async def test_largest_usual_head_is_accepted(self):
         """Bounds that reject a usual response would make its target useless."""
         connection, results = connect()
--- a/tests/slow/test_hostile_callers.py
+++ b/tests/slow/test_hostile_callers.py
@@ -1,4 +1,4 @@
-"""Callers that nobody controls must not end a node or stop it from serving others.
+"""Callers and targets that nobody controls must not end a node or stop it from serving others.
 
 Each test runs alone: the suite starts them one after the other when all others have ended.
 """
@@ -84,6 +84,18 @@
     return [struct.pack("<I", 16 * MEGABYTE) + bytes(16 * MEGABYTE - 1)]
 
 
+ENDLESS_URL = b"/charge/endless"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+# Well beyond the time limit of the crowd, at which the node gives up its requests.
+FLOOD_TIMEOUT_S = 60.0
+
+
+def request_of_endless_response():
+    path = ENDLESS_URL.decode("ascii")
+    return [head("X-Deadline-Ms: 5000", "Content-Length: 0", path=path) + b"\r\n"]
+
+
 def respond_with_large_body(target, request, respond):
     size = 1 if request.url == b"/charge/1" else 256 * 1024
     respond(target.response_to(request, body=bytes(size)))
@@ -94,8 +106,8 @@
         respond(target.response_to(request))
 
 
-class HostileCallersTest(unittest.TestCase):
-    """Load: a crowd of callers that send as much as they may, slowly or never to the end."""
+class HostileTest(unittest.TestCase):
+    """Plays a crowd, and checks that the node lives within its limits and answers others."""
 
     def assert_survives(self, *crowds, behaviour=respond_immediately):
         asyncio.run(self.play(crowds, behaviour))
@@ -104,6 +116,7 @@
         with tempfile.TemporaryDirectory(prefix="jacinthsail-hostile-") as folder:
             async with HostileDeployment(Path(folder), behaviour) as deployment:
                 await deployment.send_crowds(*crowds)
+                await self.wait_for_target(deployment)
                 status = await deployment.answer_to_ordinary_caller()
                 log = (Path(folder) / "node.log").read_text(encoding="utf-8")
                 self.assertTrue(deployment.is_alive(), log[-2000:])
@@ -112,6 +125,13 @@
                 self.assertEqual(status, 200)
                 self.assertNotIn("Traceback", log)
 
+    async def wait_for_target(self, deployment):
+        """Wait until the target has done what the crowd asked it to."""
+
+
+class HostileCallersTest(HostileTest):
+    """Load: a crowd of callers that send as much as they may, slowly or never to the end."""
+
     def test_heads_of_short_lines(self):
         """Each line costs an object of many times its size."""
         self.assert_survives(Crowd(240, unfinished_head))
@@ -176,3 +196,55 @@
             Crowd(50, nothing),
             behaviour=respond_with_large_body,
         )
+
+
+class EndlessResponse:
+    """Behaviour of a target that answers the requests of a crowd without an end."""
+
+    def __init__(self, start, block):
+        self.start = start
+        self.block = block
+        self.tasks = {}
+
+    def __call__(self, target, request, respond):
+        if request.url != ENDLESS_URL:
+            respond(target.response_to(request))
+            return
+        connection = next(
+            one for one in target.port.connections if one.pending and one not in self.tasks
+        )
+        self.tasks[connection] = asyncio.create_task(self.send(connection.transport))
+
+    async def send(self, transport):
+        transport.write(self.start)
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < len(self.block):
+                transport.write(self.block)
+            await asyncio.sleep(0.001)
+
+
+class HostileTargetsTest(HostileTest):
+    """Load: a target that answers some of its requests with bytes without an end."""
+
+    def assert_survives_response(self, start, block):
+        self.behaviour = EndlessResponse(start, block)
+        self.assert_survives(Crowd(16, request_of_endless_response), behaviour=self.behaviour)
+
+    async def wait_for_target(self, deployment):
+        async with asyncio.timeout(FLOOD_TIMEOUT_S):
+            while not self.behaviour.tasks or not all(
+                task.done() for task in self.behaviour.tasks.values()
+            ):
+                await asyncio.sleep(0.1)
+
+    def test_body_in_small_chunks(self):
+        """Each chunk of two bytes was kept as an object of its own."""
+        self.assert_survives_response(CHUNKED_HEAD, b"2\r\nab\r\n" * 8192)
+
+    def test_body_in_large_chunks(self):
+        """The bound on all bodies together must hold where a few reads reach it."""
+        self.assert_survives_response(CHUNKED_HEAD, b"8000\r\n" + b"a" * 0x8000 + b"\r\n")
+
+    def test_head(self):
+        """Header lines without an end must not be kept."""
+        self.assert_survives_response(b"HTTP/1.1 200 OK\r\n", b"ab: c\r\n" * 8192)
