Report a response after the last received byte is parsed

Callers saw: charges that must run once ran twice, beside a target that wrote the beginning of a rejection behind some of its responses.

Cause: HttpClientConnection reported a complete response from inside the parser. The report frees a slot, so the next queued request was written on the connection before the rest of the received bytes was parsed; that rest became the head of its response, which then read as a refusal with the id of the charge.

Change: the result of an exchange is reported after feed_data has returned; a byte behind the response has then closed the connection, and the response is still delivered. A connection whose kernel buffer holds bytes or the end of the stream carries no further request; the request was not sent and takes another connection.

Why it works: nothing that arrived before a request was written is left to parse when its response begins.

--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -2,9 +2,11 @@
 
 It is used for the local target and for the platform's store. Only complete responses are reported:
 bytes after a response, a truncated response and a response to another request never reach a caller.
+What was received before a request was written is never a part of its response.
 """
 
 import asyncio
+import os
 from collections.abc import Callable
 from typing import NamedTuple, TypedDict
 
@@ -86,6 +88,8 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.on_result: Callable[[ExchangeResult], None] | None = None
+        # Reported once all received bytes are parsed.
+        self.result: ExchangeResult | None = None
         self.matches: ResponsePredicate | None = None
         self.is_head = False
         self.headers: list[tuple[bytes, bytes]] = []
@@ -116,6 +120,23 @@
             return False
         return self.on_result is None and not self.in_message
 
+    def _has_unread_input(self) -> bool:
+        """Return whether the kernel holds bytes that are not read yet, or the connection has ended.
+
+        Such bytes arrived before the next request is written, so they must not be taken for a part
+        of its response. One byte of them is consumed: the connection must not be used any more.
+        """
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        try:
+            os.read(sock.fileno(), 1)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def send(
         self,
         request: bytes,
@@ -127,6 +148,10 @@
         if self.transport is None or self.transport.is_closing():
             on_result(BrokenExchange("the connection was closed before the request", False))
             return
+        if self._has_unread_input():
+            self.abort()
+            on_result(BrokenExchange("bytes or the end came before the request", False))
+            return
         self.skipped = 0
         self.bytes_without_body = 0
         self.on_result = on_result
@@ -147,14 +172,15 @@
     def abort(self) -> None:
         """Close the connection immediately; a pending request gets no result."""
         self.on_result = None
+        self.result = None
         self.must_close = True
         self._release_body()
         if self.transport is not None:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
-        if self.on_result is None and not self.in_message:
+        """Parse received bytes, and report the result of the exchange if they end it."""
+        if self.on_result is None:
             # Bytes on an idle connection belong to no request.
             self._fail("bytes without a request")
             return
@@ -167,23 +193,30 @@
             self._fail(f"malformed response: {type(error).__name__}")
         if self.bytes_without_body > MAX_BYTES_WITHOUT_BODY:
             self._fail("response exceeds the maximum size outside its body")
+        self._report()
 
     def eof_received(self) -> bool:
         """Treat a response that is delimited by the end of its connection as complete."""
         if self.in_message and self.is_head_complete and not self.has_length:
             self.must_close = True
             self.on_message_complete()
+            self._report()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that is in progress."""
         self.transport = None
-        self.must_close = True
         self._fail("the connection was lost" if exc is None else f"{type(exc).__name__}")
+        self._report()
         self.on_closed(self)
 
     def on_message_begin(self) -> None:
-        """Start a new response."""
+        """Start a new response, unless the exchange has ended."""
+        if self.result is not None:
+            # The response before these bytes is whole, but what follows on the connection may be
+            # mixed with them.
+            self._fail("bytes after the response")
+            return
         self.headers = []
         self._release_body()
         self.in_message = True
@@ -192,6 +225,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
+        if not self.in_message:
+            return
         lower = name.lower()
         if lower in (HEADER_CONTENT_LENGTH, HEADER_TRANSFER_ENCODING):
             self.has_length = True
@@ -205,6 +240,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the status, and complete the response to a HEAD request, which has no body."""
+        if not self.in_message:
+            return
         self.is_head_complete = True
         if not MIN_STATUS <= self.parser.get_status_code() <= MAX_STATUS:
             self._fail(f"status {self.parser.get_status_code()} is not a status of HTTP")
@@ -248,37 +285,44 @@
         self.in_message = False
         response = HttpClientResponse(self.parser.get_status_code(), self.headers, bytes(self.body))
         self._release_body()
-        if self.on_result is None:
-            # After a second response to one request, nothing on this connection can be trusted.
-            self._fail("response without a request")
-            return
         if self.matches is not None and not self.matches(response):
             # A late response to an earlier request; the response to this request follows it.
             self.must_close = True
             self._skip()
             return
-        on_result = self.on_result
-        self.on_result = None
         if not self.parser.should_keep_alive():
             self.must_close = True
-        if self.must_close and self.transport is not None:
-            self.transport.close()
-        if self.is_idle():
-            # Reported as idle before the result, so that the next request can use this connection.
-            self.idle_since = asyncio.get_running_loop().time()
-            self.on_idle(self)
-        on_result(response)
+        self.result = response
 
     def _fail(self, detail: str, is_too_large: bool = False) -> None:
-        on_result = self.on_result
-        self.on_result = None
+        """Close the connection, and end the exchange unless its response is complete."""
         self.in_message = False
         self.must_close = True
         self._release_body()
         if self.transport is not None:
             self.transport.abort()
-        if on_result is not None:
-            on_result(BrokenExchange(detail, True, is_too_large))
+        if self.result is None and self.on_result is not None:
+            self.result = BrokenExchange(detail, True, is_too_large)
+
+    def _report(self) -> None:
+        """Report the result of the exchange, if it has one.
+
+        The owner may send its next request on this connection before it handles the result. So this
+        is called only after the last received byte was parsed: a byte behind the response has then
+        closed the connection, and is not taken for the beginning of the next response.
+        """
+        result = self.result
+        on_result = self.on_result
+        if result is None or on_result is None:
+            return
+        self.result = None
+        self.on_result = None
+        if self.must_close and self.transport is not None:
+            self.transport.close()
+        if self.is_idle():
+            self.idle_since = asyncio.get_running_loop().time()
+            self.on_idle(self)
+        on_result(result)
 
 
 def keep_alive_timeout_s(value: bytes) -> float | None:
--- a/src/jacinthsail/internal/adapters/local_target.py
+++ b/src/jacinthsail/internal/adapters/local_target.py
@@ -386,6 +386,11 @@
 
     def _on_result(self, request: LocalRequest, result: ExchangeResult) -> None:
         if isinstance(result, BrokenExchange):
+            if not result.request_sent and request.attempts < MAX_ATTEMPTS:
+                # The connection had ended or held bytes; another one can carry the request.
+                request.connection = None
+                self._attempt(request)
+                return
             record_paced_failure(self.queue["pace"], self.queue["slots"], self.loop.time())
             if result.request_sent:
                 self._end(request, Unknown(Reason.INCOMPLETE_ANSWER, 0))
