Refuse a response that holds the head of another one

Callers saw: 503, the promise that nothing had run, for a charge that ran 14 times, when a target wrote the beginning of a rejection before its response.

Cause: the parser joins a head that breaks off with the response behind it. Where the break is in the reason phrase or in the value of a header, the result is well formed, with the status of the broken head and the id and body of the response.

Change: a response whose reason phrase or header values hold a status line is malformed, so that the outcome of its request is unknown.

Why it works: a break at any other byte is refused by the parser itself; the test cuts a rejection and a success at each byte.

--- a/src/jacinthsail/internal/adapters/http_client.py
+++ b/src/jacinthsail/internal/adapters/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import os
+import re
 from collections.abc import Callable
 from typing import NamedTuple, TypedDict
 
@@ -37,6 +38,10 @@
 # Number of the Linux socket option, which belongs to level 6 (TCP).
 _TCP_USER_TIMEOUT = 18
 
+# A head that breaks off is continued by the next response on the connection. The status line of
+# that response then stands in the reason phrase or in the value of a header.
+_SECOND_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 HEADER_CONNECTION = b"connection"
 HEADER_KEEP_ALIVE = b"keep-alive"
 HEADER_CONTENT_LENGTH = b"content-length"
@@ -92,6 +97,7 @@
         self.result: ExchangeResult | None = None
         self.matches: ResponsePredicate | None = None
         self.is_head = False
+        self.reason = b""
         self.headers: list[tuple[bytes, bytes]] = []
         # One buffer, because an object for each chunk would cost many times the bytes of the chunk.
         self.body = bytearray()
@@ -217,12 +223,17 @@
             # mixed with them.
             self._fail("bytes after the response")
             return
+        self.reason = b""
         self.headers = []
         self._release_body()
         self.in_message = True
         self.is_head_complete = False
         self.has_length = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Collect a part of the reason phrase."""
+        self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
         if not self.in_message:
@@ -234,6 +245,9 @@
             self.must_close = True
         elif lower == HEADER_KEEP_ALIVE:
             self.idle_timeout_s = keep_alive_timeout_s(value)
+        if holds_status_line(value):
+            self._fail("response holds the head of another one")
+            return
         self.headers.append((lower, value))
         if len(self.headers) > MAX_HEADERS:
             self._fail("response has too many headers")
@@ -243,6 +257,9 @@
         if not self.in_message:
             return
         self.is_head_complete = True
+        if holds_status_line(self.reason):
+            self._fail("response holds the head of another one")
+            return
         if not MIN_STATUS <= self.parser.get_status_code() <= MAX_STATUS:
             self._fail(f"status {self.parser.get_status_code()} is not a status of HTTP")
             return
@@ -325,6 +342,15 @@
         on_result(result)
 
 
+def holds_status_line(text: bytes) -> bool:
+    """Return whether a reason phrase or a header value holds the status line of a response.
+
+    >>> holds_status_line(b"queue fHTTP/1.1 200 OK"), holds_status_line(b"HTTP/1.1 proxy")
+    (True, False)
+    """
+    return b"HTTP/" in text and _SECOND_STATUS_LINE.search(text) is not None
+
+
 def keep_alive_timeout_s(value: bytes) -> float | None:
     """Return the idle timeout of a ``Keep-Alive`` header in seconds, or None without one.
 
--- a/tests/fast/test_bytes_behind_responses.py
+++ b/tests/fast/test_bytes_behind_responses.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 from contextlib import suppress
 
 import aiohttp
@@ -219,3 +220,55 @@
             self.assertEqual((first.status, second.status), (200, 200))
             self.assertFalse(connection.is_idle())
             self.assertEqual(len(target.executions), 2)
+
+
+class MergedHeadsTest(unittest.IsolatedAsyncioTestCase):
+    """A head that breaks off, with the next response behind it, after the request was written."""
+
+    LINES = (
+        b"X-Attempt-Id: r-1\r\nX-Not-Executed: 1\r\nX-Response-Seal: s\r\nX-Server-Load: 3,0,8\r\n"
+    )
+
+    async def test_head_that_breaks_off_gives_nothing_to_the_next_response(self):
+        """Its status would be told to the caller: a refusal for a request that ran, or a success
+        for one that failed."""
+        rejection = b"HTTP/1.1 503 Service Unavailable\r\n" + self.LINES
+        success = b"HTTP/1.1 200 OK\r\n" + self.LINES
+        failure = b"HTTP/1.1 500 Failed\r\nX-Attempt-Id: r-2\r\nContent-Length: 2\r\n\r\nno"
+        for head, response, status in ((rejection, RESPONSE, 200), (success, failure, 500)):
+            for kept in range(1, len(head) + 1):
+                for split in (len(head), kept // 2 + 1, kept + 2):
+                    with self.subTest(status=status, kept=kept, split=split):
+                        result = await self.receive(head[:kept] + response, split)
+                        self.assertTrue(isinstance(result, BrokenExchange))
+
+    async def receive(self, received, split):
+        results = []
+        connection = HttpClientConnection(lambda _: None, lambda _: None)
+        connection.connection_made(unittest.mock.Mock(spec=asyncio.Transport))
+        connection.transport.is_closing.return_value = False
+        connection.transport.get_extra_info.return_value = None
+        connection.send(REQUEST, results.append)
+        for part in (received[:split], received[split:]):
+            connection.data_received(part)
+        connection.connection_lost(None)
+        return results[0]
+
+    async def test_charge_behind_a_late_part_of_a_rejection_runs_once(self):
+        """The charge read as refused, ran 14 times, and its caller was told that it had not run."""
+
+        def behaviour(target, request, respond):
+            transport = next(one for one in target.port.connections if one.pending).transport
+            transport.write(REJECTION[:60])
+            respond(target.response_to(request))
+
+        async with asyncio.timeout(TIMEOUT_S), PlatformTestbed() as testbed:
+            target = TargetStandIn("i-2", behaviour)
+            await testbed.add_target(2, target)
+            await testbed.add_node(2, service="seals")
+            await testbed.add_node(1)
+            await testbed.wait_until_listed(1)
+            caller = await testbed.caller(1)
+            response = await caller.send_request("/charge/1", "r-1", method="POST")
+            self.assertEqual(response.status, 502)
+            self.assertEqual(len(target.executions), 1)
