Stop reading responses beyond their bound on the own interface

Callers saw: nothing yet; the process would run out of memory and end with the calls in progress on it.

Cause: the product's own interface checked the bound of 1 MiB after it had read the whole body, so a target that never ends its response was read until the deadline of the call. The poll of the target's health had no bound at all.

Change: bodies are read in parts into one buffer; beyond 1 MiB the connection is closed and the outcome of the call is unknown.

--- a/src/jacinthsail/internal/adapters/exchange.py
+++ b/src/jacinthsail/internal/adapters/exchange.py
@@ -22,6 +22,10 @@
 
 _READ_BUFFER_BYTES = 1 << 16
 
+# The size of frames between nodes is limited; a response that exceeds it would close the connection
+# between the nodes and fail the other calls on it.
+MAX_RESPONSE_BYTES = 1024 * 1024
+
 
 class TargetResponse(NamedTuple):
     """The response received from the target."""
@@ -42,8 +46,8 @@
 ) -> TargetResponse:
     """Send a request and return its response, or a truncated one if not ``require_complete``.
 
-    Redirects are not followed: the caller gets the target's response, and the call is not
-    executed twice.
+    A body of more than ``MAX_RESPONSE_BYTES`` raises ``ClientPayloadError``. Redirects are not
+    followed: the caller gets the target's response, and the call is not executed twice.
     """
     connection = await _connect(session, url, timeout)
     try:
@@ -97,16 +101,22 @@
         raise aiohttp.ClientConnectionError(f"malformed response: {error}") from error
     if not MIN_FINAL_STATUS <= message.code <= MAX_STATUS:
         raise aiohttp.ClientConnectionError(f"status {message.code} is not a status of HTTP")
-    body = await payload.read() if require_complete else await _read_partial(payload)
+    body = await read_body(payload, require_complete)
     return TargetResponse(message.code, message.headers, body)
 
 
-async def _read_partial(payload: StreamReader) -> bytes:
-    """Return the part of the body that arrived; used if ``whole-answers`` is disabled."""
-    body = b""
+async def read_body(payload: StreamReader, require_complete: bool = True) -> bytes:
+    """Return a body, or if not ``require_complete`` the part of it that arrived."""
+    body = bytearray()
     try:
-        async for chunk in payload.iter_any():
-            body += chunk
+        async for part in payload.iter_any():
+            body += part
+            if len(body) > MAX_RESPONSE_BYTES:
+                break
     except aiohttp.ClientPayloadError:
-        return body
-    return body
+        if require_complete:
+            raise
+    if len(body) > MAX_RESPONSE_BYTES:
+        # A body without an end would take the memory of the process.
+        raise aiohttp.ClientPayloadError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
+    return bytes(body)
--- a/src/jacinthsail/internal/adapters/target.py
+++ b/src/jacinthsail/internal/adapters/target.py
@@ -1,6 +1,7 @@
 """Calls the local target over HTTP."""
 
 import asyncio
+import json
 from functools import lru_cache, singledispatch
 from typing import Any
 
@@ -8,7 +9,7 @@
 import mode
 from yarl import URL
 
-from jacinthsail.internal.adapters.exchange import TargetResponse, post
+from jacinthsail.internal.adapters.exchange import TargetResponse, post, read_body
 from jacinthsail.internal.adapters.headers import (
     CONTENT_LENGTH,
     CONTENT_TYPE,
@@ -30,10 +31,6 @@
 # so that a call that only waited for a connection is known not to have run.
 CONNECT_TIMEOUT_FRACTION = 0.95
 
-# The size of frames between nodes is limited; a response that exceeds it would close the connection
-# between the nodes and fail the other calls on it.
-MAX_RESPONSE_BYTES = 1024 * 1024
-
 HEALTH_INTERVAL_S = 1.0
 HEALTH_TIMEOUT_S = 1.0
 
@@ -78,8 +75,6 @@
         return NotRun(Reason.TARGET_REFUSED, retries_left)
     if require_complete and not _is_truncation_detectable(response):
         return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
-    if len(response.body) > MAX_RESPONSE_BYTES:
-        return Unknown(Reason.INCOMPLETE_ANSWER, retries_left)
     content_type = response.headers.get(CONTENT_TYPE, "application/octet-stream")
     return Answered(response.status, content_type, response.body, retries_left)
 
@@ -169,7 +164,7 @@
     async def _fetch_health(self) -> bool:
         async with asyncio.timeout(HEALTH_TIMEOUT_S):
             async with self.session.get(self.url) as response:
-                return reports_draining(await response.json(content_type=None))
+                return reports_draining(json.loads(await read_body(response.content)))
 
 
 def reports_draining(response: object) -> bool:
--- a/tests/fast/test_target.py
+++ b/tests/fast/test_target.py
@@ -1,11 +1,20 @@
 """Tests the outcomes of calls whose exchange with the target fails, and target draining."""
 
+import asyncio
 import unittest
+from contextlib import suppress
 
-from jacinthsail.internal.adapters.target import call_target, new_session, reports_draining
+import aiohttp
+
+from jacinthsail.internal.adapters.target import (
+    TargetHealth,
+    call_target,
+    new_session,
+    reports_draining,
+)
 from jacinthsail.internal.commands.draining import record_health, record_stop
 from jacinthsail.internal.model.calls import Answered, NotRun, Reason, Unknown
-from jacinthsail.internal.model.settings import Mechanism
+from jacinthsail.internal.model.settings import Endpoint, Mechanism
 from jacinthsail.internal.queries.draining import should_drain
 from jacinthsail.internal.queries.initial import initial_state
 from tests.common.loopback import (
@@ -21,6 +30,8 @@
 MALFORMED = b"not an answer\r\n\r\n"
 REDIRECT = b"HTTP/1.1 307 Elsewhere\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# The bound of a response, and what the buffers of the sockets may hold.
+SENT_AT_MOST_BYTES = 16 * 1024 * 1024
 TOO_LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + b"x" * 1048577
 
 
@@ -104,6 +115,44 @@
         outcome = await self.call(lambda server: server.transport.write(TOO_LARGE))
         self.assertEqual(outcome, Unknown(Reason.INCOMPLETE_ANSWER, 2))
 
+    async def test_response_without_an_end_is_not_read_on(self):
+        """The node kept all of it, 450 MB in a second, until the deadline of the call."""
+        server, endpoint, sent = await self.start_endless_server()
+        settings = node_settings(target=endpoint)
+        call = call_with_deadline_in(9)
+        outcome = await call_target(self.session, settings, call, call.context.deadline - 9)
+        server.close()
+        self.assertEqual(outcome, Unknown(Reason.INCOMPLETE_ANSWER, 2))
+        self.assertLess(sum(sent), SENT_AT_MOST_BYTES)
+
+    async def test_health_response_without_an_end_is_not_read_on(self):
+        """The poll kept what arrived within its timeout, hundreds of megabytes."""
+        server, endpoint, sent = await self.start_endless_server()
+        health = TargetHealth(
+            self.session, endpoint, initial_state(node_settings(), "i1", 0.0, 0)["drain"]
+        )
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await health._fetch_health()
+        server.close()
+        self.assertLess(sum(sent), SENT_AT_MOST_BYTES)
+
+    async def start_endless_server(self):
+        """Return a server, its endpoint and the sizes of what it has sent."""
+        sent = []
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            with suppress(ConnectionError):
+                while not writer.is_closing():
+                    writer.write(b"8000\r\n" + b"a" * 0x8000 + b"\r\n")
+                    sent.append(0x8000)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return server, Endpoint("127.0.0.1", server.sockets[0].getsockname()[1]), sent
+
     async def test_silent_target_connection_is_not_reused(self):
         """The rest of a late response must not become the response to the next call."""
         responses = [TRUNCATED, COMPLETE]
