Let the targets of the soak send bytes that belong to no response

Cause: the soak's targets spoiled responses in four ways and had more slots than requests, so that no request waited for a connection.

Other runs draw the same plans as before.

--- a/src/jacinthsail/testing/soak.py
+++ b/src/jacinthsail/testing/soak.py
@@ -44,6 +44,9 @@
 _ACCOUNTS = flags.DEFINE_boolean(
     "accounts", False, "Whether callers need keys, which manifests withdraw."
 )
+_HOSTILE_TARGETS = flags.DEFINE_boolean(
+    "hostile_targets", False, "Whether targets break off heads and send bytes without an end."
+)
 _KEEP = flags.DEFINE_string("keep", "", "Folder for the logs of failed runs.")
 
 
@@ -99,6 +102,7 @@
             _FAULTS.value,
             _PROXIES.value,
             _ACCOUNTS.value,
+            _HOSTILE_TARGETS.value,
         )
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
--- a/src/jacinthsail/testing/soak_model.py
+++ b/src/jacinthsail/testing/soak_model.py
@@ -247,7 +247,8 @@
     """One run: the nodes, the clients at each of them, and the actions in the order of time.
 
     With ``has_proxies`` set, peers and the store are reached through proxies that add
-    ``link_delay_s`` each way. With ``has_accounts`` set, callers need keys.
+    ``link_delay_s`` each way. With ``has_accounts`` set, callers need keys. With
+    ``has_hostile_targets`` set, targets also send bytes that belong to no response.
     """
 
     seed: int
@@ -258,6 +259,7 @@
     has_proxies: bool
     link_delay_s: float
     has_accounts: bool = False
+    has_hostile_targets: bool = False
 
 
 def new_record() -> SoakRecord:
--- a/src/jacinthsail/testing/soak_plan.py
+++ b/src/jacinthsail/testing/soak_plan.py
@@ -46,6 +46,7 @@
 # Shorter than the time for which a disturbance excuses a node.
 MAX_HOLD_S = 2.5
 MAX_BREAK_S = 2.5
+MEAN_HOSTILE_GAP_S = 0.7
 
 
 def draw_plan(
@@ -55,16 +56,32 @@
     with_faults: bool,
     with_proxies: bool = False,
     with_accounts: bool = False,
+    with_hostile_targets: bool = False,
 ) -> SoakPlan:
     """Return the plan of a seed; without faults, all actions are planned work.
 
-    The actions of a seed do not depend on ``with_proxies`` or ``with_accounts``, which add further
-    ones.
+    The actions of a seed do not depend on ``with_proxies``, ``with_accounts`` or
+    ``with_hostile_targets``, which add further ones.
     """
     plan = _draw_base_plan(seed, nodes, length_s, with_faults)
     if with_proxies:
         plan = _add_proxies(plan, with_faults)
-    return _add_accounts(plan) if with_accounts else plan
+    if with_accounts:
+        plan = _add_accounts(plan)
+    return _add_hostile_targets(plan) if with_hostile_targets else plan
+
+
+def _add_hostile_targets(plan: SoakPlan) -> SoakPlan:
+    """Let targets spoil responses in all ways, mostly several of them at the same time."""
+    random = Random(f"hostile targets {plan.seed}")
+    actions = list(plan.actions)
+    at = WARM_UP_S
+    while at < plan.length_s:
+        node = random.randint(1, plan.nodes)
+        actions.append(BreakResponses(at, node, random.uniform(1.0, MAX_BREAK_S)))
+        at += random.expovariate(1.0 / MEAN_HOSTILE_GAP_S)
+    ordered = sorted(actions, key=lambda action: action.at)
+    return plan._replace(actions=tuple(ordered), has_hostile_targets=True)
 
 
 def _add_accounts(plan: SoakPlan) -> SoakPlan:
--- a/src/jacinthsail/testing/soak_target.py
+++ b/src/jacinthsail/testing/soak_target.py
@@ -27,21 +27,33 @@
     request_id_header,
 )
 from jacinthsail.testing.soak_clients import HOST_HEADER
-from jacinthsail.testing.soak_model import STILL_RUNNING, Execution, SoakRecord
+from jacinthsail.testing.soak_model import STILL_RUNNING, Execution, SoakPlan, SoakRecord
 
 CALL_WORK_MS = 15
 STATUS_TIMEOUT = 504
 STATUS_ERROR = 500
 STATUS_REFUSED = 503
 
+SLOTS = 60
+
+# With few slots requests wait, and take over connections as soon as a response has arrived.
+FEW_SLOTS = 2
+
 # While a target spoils responses, this share of them; and when it writes a copy of one.
 SPOILED_SHARE = 0.3
 COPY_AFTER_S = 0.25
 
+# A response of a target has a head of about 110 bytes.
+MIN_HEAD_BYTES = 100
+REJECTION = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: queue full\r\n\r\n"
+SMALL_CHUNKS = b"2\r\nab\r\n" * 2000
+ENDLESS_BODY_GAP_S = 0.05
+
 
 class TargetContext(Protocol):
     """What targets need from their deployment."""
 
+    plan: SoakPlan
     record: SoakRecord
     random: Random
     store: StoreStandIn
@@ -85,7 +97,32 @@
     """Bytes that are no response follow the response."""
 
 
-Delivery = Intact | ResetInstead | Truncated | LateCopy | NoiseBehind
+class RejectionBehind(NamedTuple):
+    """The first bytes of a rejection follow the response."""
+
+    kept: int
+
+
+class BrokenHead(NamedTuple):
+    """The connection ends after the first bytes of the head."""
+
+    kept: int
+
+
+class EndlessBody(NamedTuple):
+    """The body consists of small chunks without an end."""
+
+
+Delivery = (
+    Intact
+    | ResetInstead
+    | Truncated
+    | LateCopy
+    | NoiseBehind
+    | RejectionBehind
+    | BrokenHead
+    | EndlessBody
+)
 
 
 @singledispatch
@@ -131,6 +168,38 @@
     _write_if_open(transport, b"\x00 these bytes are no response \r\n\r\n")
 
 
+@deliver.register
+def _(delivery: RejectionBehind, response: HttpResponse, respond: ResponseCallback) -> None:
+    transport = transport_of(respond)
+    respond(response)
+    _write_if_open(transport, REJECTION[: delivery.kept])
+
+
+@deliver.register
+def _(delivery: BrokenHead, response: HttpResponse, respond: ResponseCallback) -> None:
+    transport = transport_of(respond)
+    if transport is not None:
+        transport.write(encode_response(response, False, False)[: delivery.kept])
+        transport.close()
+
+
+@deliver.register
+def _(delivery: EndlessBody, response: HttpResponse, respond: ResponseCallback) -> None:
+    transport = transport_of(respond)
+    if transport is not None:
+        head = b"HTTP/1.1 200 OK\r\n" + response.head_lines
+        transport.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        _continue_body(transport)
+
+
+def _continue_body(transport: asyncio.Transport) -> None:
+    if transport.is_closing():
+        return
+    if transport.get_write_buffer_size() < len(SMALL_CHUNKS):
+        transport.write(SMALL_CHUNKS)
+    asyncio.get_running_loop().call_later(ENDLESS_BODY_GAP_S, _continue_body, transport)
+
+
 def transport_of(respond: Any) -> asyncio.Transport | None:
     """Return the connection on which a response callback writes, or None if it is closed."""
     transport: asyncio.Transport | None = respond.__self__.connection.transport
@@ -215,7 +284,7 @@
                 "address": "{}:{}".format(*self.fleet.target_address(self.node)),
                 "zone": self.fleet.zone(self.node),
                 "version": "v1",
-                "concurrency": 60,
+                "concurrency": FEW_SLOTS if self.fleet.plan.has_hostile_targets else SLOTS,
                 "state": self.state,
                 "warmupLeft": "0ms",
                 "sequence": self.sequence,
@@ -242,6 +311,12 @@
         if self.fleet.now() >= self.spoils_until or random.random() >= SPOILED_SHARE:
             return Intact()
         spoiled: list[Delivery] = [ResetInstead(), Truncated(), LateCopy(), NoiseBehind()]
+        if self.fleet.plan.has_hostile_targets:
+            spoiled += [
+                RejectionBehind(random.randint(1, len(REJECTION))),
+                BrokenHead(random.randint(1, MIN_HEAD_BYTES)),
+                EndlessBody(),
+            ]
         return random.choice(spoiled)
 
     def response(self, request: HttpRequest, status: int) -> HttpResponse:
--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -24,8 +24,11 @@
         with_proxies=False,
         nodes=NODES,
         with_accounts=False,
+        with_hostile_targets=False,
     ):
-        plan = draw_plan(seed, nodes, length_s, with_faults, with_proxies, with_accounts)
+        plan = draw_plan(
+            seed, nodes, length_s, with_faults, with_proxies, with_accounts, with_hostile_targets
+        )
         with tempfile.TemporaryDirectory(prefix="jacinthsail-soak-") as folder:
             record = asyncio.run(run_plan(plan, Path(folder)))
         self.assertGreater(len(record["attempts"]), 1000)
@@ -58,6 +61,10 @@
         """A node that was frozen, cut off or restarted went on to serve a withdrawn key."""
         self.assert_held(1401, with_faults=True, with_proxies=True, with_accounts=True)
 
+    def test_targets_that_send_bytes_of_no_response(self):
+        """A filing that ran was refused, because bytes behind a response became its head."""
+        self.assert_held(1501, with_faults=False, length_s=LONG_S, with_hostile_targets=True)
+
     def test_requests_that_outlast_the_node_of_their_target(self):
         """A filing of 3.4 s was cut with the node of its target, while its own node stopped."""
         self.assert_held(1200, with_faults=False, length_s=LONG_S, with_proxies=True, nodes=10)
