Share the set-up of tests with two nodes and one caller

Cause: four tests set up the same pair of nodes line by line, and three repeated how a request that is not sent is checked. No check is changed.

--- a/tests/common/platform_testbed.py
+++ b/tests/common/platform_testbed.py
@@ -141,6 +141,14 @@
         await caller.connect(self.host(number), CALLERS_PORT)
         return caller
 
+    async def caller_of(self, target, slots=4):
+        """Return a caller at node 1, whose requests reach a target through node 2."""
+        await self.add_target(2, target, slots=slots)
+        await self.add_node(2, service="seals")
+        await self.add_node(1)
+        await self.wait_until_listed(1)
+        return await self.caller(1)
+
     async def wait_until(self, condition):
         """Wait until a condition holds; raise ``TimeoutError`` after ``WAIT_S``."""
         async with asyncio.timeout(WAIT_S):
--- a/tests/fast/test_broken_heads.py
+++ b/tests/fast/test_broken_heads.py
@@ -46,11 +46,7 @@
         cuts = 0
         async with asyncio.timeout(TIMEOUT_S), PlatformTestbed() as testbed:
             target = TargetStandIn("i-2", behaviour)
-            await testbed.add_target(2, target)
-            await testbed.add_node(2, service="seals")
-            await testbed.add_node(1)
-            await testbed.wait_until_listed(1)
-            caller = await testbed.caller(1)
+            caller = await testbed.caller_of(target)
             for framing in self.FRAMINGS:
                 size = len(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r-0000\r\nX-Response-Seal: s\r\n\r\n")
                 for cut in range(size + len(framing)):
--- a/tests/fast/test_bytes_behind_responses.py
+++ b/tests/fast/test_bytes_behind_responses.py
@@ -23,8 +23,9 @@
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 REJECTION = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: queue full\r\n\r\n"
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+PARSED_RESPONSE = HttpClientResponse(200, [(b"content-length", b"2")], b"ok")
 
-# The code before took some of these responses for those of other requests, and waited for ever.
+# A request whose response was taken for that of another one waits for ever.
 TIMEOUT_S = 10.0
 
 # Long enough for bytes on loopback to reach the kernel of the receiver.
@@ -51,6 +52,12 @@
         self.writer = await self.accepted
         return self
 
+    async def exchange(self):
+        """Carry one request and its whole response."""
+        result = self.send()
+        self.writer.write(RESPONSE)
+        await result
+
     async def __aexit__(self, *error):
         self.connection.abort()
         self.writer.transport.abort()
@@ -83,7 +90,7 @@
                 async with ScriptedPeer() as peer:
                     first = peer.send()
                     peer.writer.write(RESPONSE + extra)
-                    self.assertEqual(await first, HttpClientResponse(200, *usual_response()))
+                    self.assertEqual(await first, PARSED_RESPONSE)
                     self.assertEqual(peer.idle_reports, [])
 
     async def test_bytes_in_the_kernel_before_a_request_are_not_its_response(self):
@@ -91,42 +98,31 @@
         for extra in (b"\r", b"H", REJECTION[:50], RESPONSE):
             with self.subTest(extra=extra):
                 async with ScriptedPeer() as peer:
-                    first = peer.send()
-                    peer.writer.write(RESPONSE)
-                    await first
+                    await peer.exchange()
                     peer.connection.transport.pause_reading()
                     peer.writer.write(extra)
-                    await asyncio.sleep(ARRIVAL_S)
-                    result = await peer.send()
-                    self.assertIsInstance(result, BrokenExchange)
-                    self.assertFalse(result.request_sent)
+                    await self.assert_next_request_is_not_sent(peer)
 
     async def test_bytes_of_a_new_connection_are_not_a_response(self):
         """A target that writes before it is asked answers no request."""
         async with ScriptedPeer() as peer:
             peer.connection.transport.pause_reading()
             peer.writer.write(RESPONSE)
-            await asyncio.sleep(ARRIVAL_S)
-            result = await peer.send()
-            self.assertIsInstance(result, BrokenExchange)
-            self.assertFalse(result.request_sent)
+            await self.assert_next_request_is_not_sent(peer)
 
     async def test_connection_that_has_ended_carries_no_request(self):
         """A request on it would be lost, though it can still be sent on another connection."""
         async with ScriptedPeer() as peer:
-            first = peer.send()
-            peer.writer.write(RESPONSE)
-            await first
+            await peer.exchange()
             peer.connection.transport.pause_reading()
             peer.writer.close()
-            await asyncio.sleep(ARRIVAL_S)
-            result = await peer.send()
-            self.assertIsInstance(result, BrokenExchange)
-            self.assertFalse(result.request_sent)
+            await self.assert_next_request_is_not_sent(peer)
 
-
-def usual_response():
-    return [(b"content-length", b"2")], b"ok"
+    async def assert_next_request_is_not_sent(self, peer):
+        await asyncio.sleep(ARRIVAL_S)
+        result = await peer.send()
+        self.assertIsInstance(result, BrokenExchange)
+        self.assertFalse(result.request_sent)
 
 
 class BurstOfChargesTest(unittest.IsolatedAsyncioTestCase):
@@ -157,10 +153,7 @@
 
         async with asyncio.timeout(TIMEOUT_S), PlatformTestbed() as testbed:
             target = TargetStandIn("i-2", behaviour)
-            await testbed.add_target(2, target, slots=2)
-            await testbed.add_node(2, service="seals")
-            await testbed.add_node(1)
-            await testbed.wait_until_listed(1)
+            await testbed.caller_of(target, slots=2)
             statuses = await asyncio.gather(
                 *(self.charge(testbed, f"r-{number}") for number in range(self.CHARGES))
             )
@@ -264,11 +257,7 @@
 
         async with asyncio.timeout(TIMEOUT_S), PlatformTestbed() as testbed:
             target = TargetStandIn("i-2", behaviour)
-            await testbed.add_target(2, target)
-            await testbed.add_node(2, service="seals")
-            await testbed.add_node(1)
-            await testbed.wait_until_listed(1)
-            caller = await testbed.caller(1)
+            caller = await testbed.caller_of(target)
             response = await caller.send_request("/charge/1", "r-1", method="POST")
             self.assertEqual(response.status, 502)
             self.assertEqual(len(target.executions), 1)
--- a/tests/fast/test_invalid_statuses.py
+++ b/tests/fast/test_invalid_statuses.py
@@ -70,13 +70,9 @@
         for line in (b"HTTP/1.1 000 ", b"HTTP/1.1 777 Odd", b"HTTP/1.1 20 OK", b"HTTP/1.1 OK"):
             with self.subTest(line=line):
                 async with PlatformTestbed() as testbed:
-                    await testbed.add_target(
-                        2, TargetStandIn("i-2", respond_with_status_line(line))
+                    caller = await testbed.caller_of(
+                        TargetStandIn("i-2", respond_with_status_line(line))
                     )
-                    await testbed.add_node(2, service="seals")
-                    await testbed.add_node(1)
-                    await testbed.wait_until_listed(1)
-                    caller = await testbed.caller(1)
                     response = await caller.send_request("/charge/1", "r-1", method="POST")
                     self.assertEqual(response.status, 502)
                     self.assertEqual(len(testbed.targets[2].executions), 1)
